--- /dev/null
+++ b/core/store_error.cpp
@@ -0,0 +1,49 @@
+#include "core/store_error.h"
+
+#include <string>
+
+namespace monsoonsail {
+
+namespace {
+
+class StoreCategory : public std::error_category
+{
+public:
+    const char *name() const noexcept override { return "store"; }
+
+    std::string message(int value) const override
+    {
+        switch (static_cast<StoreError>(value)) {
+        case StoreError::None:
+            return "no error";
+        case StoreError::Unreachable:
+            return "no answer";
+        case StoreError::Busy:
+            return "refused for now";
+        case StoreError::Conflict:
+            return "condition does not hold";
+        case StoreError::Expired:
+            return "records no longer kept";
+        case StoreError::Malformed:
+            return "unreadable answer";
+        case StoreError::Rejected:
+            return "refused";
+        }
+        return "unknown error";
+    }
+};
+
+} // namespace
+
+const std::error_category &storeCategory()
+{
+    static const StoreCategory category;
+    return category;
+}
+
+std::error_code make_error_code(StoreError error) // NOLINT(readability-identifier-naming)
+{
+    return {static_cast<int>(error), storeCategory()};
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/http/curl_client.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "drivers/http/http_call.h"
+#include "drivers/loop/event_loop.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace monsoonsail {
+
+class HttpTransfer;
+
+/// Outgoing HTTP calls by libcurl on an event loop. For the loop's thread.
+class CurlClient
+{
+public:
+    /// `loop` must outlive the client. Throws std::runtime_error if libcurl can't be set up.
+    explicit CurlClient(EventLoop &loop);
+    /// Ends all calls without an answer.
+    ~CurlClient();
+    CurlClient(const CurlClient &) = delete;
+    CurlClient &operator=(const CurlClient &) = delete;
+
+    /// Starts a call. Its onDone is called later, once, unless the client ends before.
+    void start(HttpCall call);
+
+private:
+    class WatchedSocket;
+    struct Entry
+    {
+        std::unique_ptr<HttpTransfer> transfer;
+        TimerQueue::Handle timer;
+    };
+
+    static int onSocket(CURL *handle, curl_socket_t socket, int what, void *client, void *watch);
+    static int onTimer(CURLM *multi, long timeoutMs, void *client);
+    void watch(curl_socket_t socket, int what);
+    void advance(curl_socket_t socket, int events);
+    void expire(CURL *handle);
+    void finish(CURL *handle, CURLcode code, const std::string &error);
+
+    EventLoop &m_loop;
+    CURLM *m_multi;
+    std::unordered_map<curl_socket_t, std::unique_ptr<WatchedSocket>> m_sockets;
+    std::unordered_map<CURL *, Entry> m_transfers;
+    TimerQueue::Handle m_timer;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/http/message_head.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "drivers/http/header_fields.h"
+
+#include <string>
+
+namespace monsoonsail {
+
+/// Request line and header of an HTTP request.
+struct RequestHead
+{
+    std::string method; ///< As received.
+    std::string target; ///< Path and query, as received.
+    HeaderFields fields;
+    bool keepAlive = false; ///< Whether the caller wants to use the connection again.
+};
+
+/// Status line and header of an HTTP answer.
+struct AnswerHead
+{
+    int status = 0;
+    std::string reason;
+    HeaderFields fields;
+    bool keepAlive = false; ///< Whether the connection may be used again after this answer.
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/http/message_reader.cpp
@@ -0,0 +1,155 @@
+#include "drivers/http/message_reader.h"
+
+#include <boost/beast/http/error.hpp>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr std::string_view transferEncoding = "Transfer-Encoding";
+
+std::string_view toStandard(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+bool needsMore(const boost::beast::error_code &error)
+{
+    return error == boost::beast::http::error::need_more;
+}
+
+} // namespace
+
+template <bool isRequest>
+MessageReader<isRequest>::MessageReader(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
+{
+    this->eager(true);
+    this->header_limit(maxHeaderBytes);
+    this->body_limit(maxBodyBytes);
+}
+
+template <bool isRequest>
+std::size_t MessageReader<isRequest>::read(std::string_view input, std::error_code &error)
+{
+    error.clear();
+    std::size_t used = 0;
+    while (!this->is_done() && used < input.size()) {
+        ErrorCode parserError;
+        const std::size_t count = this->put(
+                boost::asio::const_buffer(input.data() + used, input.size() - used), parserError);
+        used += count;
+        if (needsMore(parserError))
+            break;
+        if (parserError) {
+            error = parserError;
+            break;
+        }
+    }
+    return used;
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::readEnd(std::error_code &error)
+{
+    error.clear();
+    if (this->is_done())
+        return;
+    if (!this->is_header_done()) {
+        error = std::make_error_code(std::errc::connection_aborted);
+        return;
+    }
+    ErrorCode parserError;
+    this->put_eof(parserError);
+    if (parserError)
+        error = parserError;
+}
+
+template <bool isRequest>
+std::uint64_t MessageReader<isRequest>::announcedBodyBytes() const
+{
+    const auto length = this->content_length();
+    return length ? *length : 0;
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::on_request_impl(boost::beast::http::verb /*method*/,
+                                               StringView methodText, StringView target,
+                                               int /*version*/, ErrorCode & /*error*/)
+{
+    if constexpr (isRequest) {
+        m_head.method = toStandard(methodText);
+        m_head.target = toStandard(target);
+    }
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::on_response_impl(int code, StringView reason, int /*version*/,
+                                                ErrorCode & /*error*/)
+{
+    if constexpr (!isRequest) {
+        m_head.status = code;
+        m_head.reason = toStandard(reason);
+    }
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::on_field_impl(boost::beast::http::field /*name*/,
+                                             StringView nameText, StringView value,
+                                             ErrorCode & /*error*/)
+{
+    // Beast reports the trailers of a chunked body as fields too. They are dropped, since a field
+    // that nobody has checked must not join the header.
+    if (!m_headDone)
+        m_head.fields.add(toStandard(nameText), toStandard(value));
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::on_header_impl(ErrorCode &error)
+{
+    m_headDone = true;
+    m_head.keepAlive = this->keep_alive();
+    // Beast takes a message with an unknown transfer coding for one without a body, and would read
+    // its body as the next message.
+    const bool isCoded = m_head.fields.count(transferEncoding) > 0;
+    const bool isChunked = m_head.fields.count(transferEncoding) == 1
+            && equalHeaderNames(*m_head.fields.find(transferEncoding), "chunked");
+    if (isCoded && !isChunked)
+        error = boost::beast::http::error::bad_transfer_encoding;
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::on_body_init_impl(boost::optional<std::uint64_t> const & /*length*/,
+                                                 ErrorCode & /*error*/)
+{ }
+
+template <bool isRequest>
+std::size_t MessageReader<isRequest>::on_body_impl(StringView body, ErrorCode & /*error*/)
+{
+    if (m_sink)
+        m_sink(toStandard(body));
+    return body.size();
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::on_chunk_header_impl(std::uint64_t /*size*/,
+                                                    StringView /*extensions*/,
+                                                    ErrorCode & /*error*/)
+{ }
+
+template <bool isRequest>
+std::size_t MessageReader<isRequest>::on_chunk_body_impl(std::uint64_t /*remain*/, StringView body,
+                                                         ErrorCode & /*error*/)
+{
+    if (m_sink)
+        m_sink(toStandard(body));
+    return body.size();
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::on_finish_impl(ErrorCode & /*error*/)
+{ }
+
+template class MessageReader<true>;
+template class MessageReader<false>;
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/http/message_reader.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "drivers/http/message_head.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace monsoonsail {
+
+/// Reads one HTTP/1.1 message from bytes as they arrive.
+///
+/// The subclasses fill in the head; the body goes to a sink in pieces.
+template <bool isRequest>
+class MessageReader : private boost::beast::http::basic_parser<isRequest>
+{
+public:
+    using Parser = boost::beast::http::basic_parser<isRequest>;
+    using Head = std::conditional_t<isRequest, RequestHead, AnswerHead>;
+
+    /// Receives the pieces of the body, without any framing.
+    using BodySink = std::function<void(std::string_view)>;
+
+    MessageReader(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes);
+
+    void setBodySink(BodySink sink) { m_sink = std::move(sink); }
+    /// Expects no body whatever the header says, as in an answer to HEAD.
+    void expectNoBody() { this->skip(true); }
+
+    /// Takes bytes from the front of `input` and returns how many it has used. A message that is
+    /// complete takes no more. After an error the connection can't be read any further.
+    std::size_t read(std::string_view input, std::error_code &error);
+    /// Told that the other end has closed the connection in order. Completes a message that ends
+    /// with its connection; otherwise an incomplete message is an error.
+    void readEnd(std::error_code &error);
+
+    bool isStarted() const { return this->got_some(); }
+    bool isHeadComplete() const { return this->is_header_done(); }
+    bool isComplete() const { return this->is_done(); }
+    /// Whether only the end of the connection completes the message.
+    bool endsWithConnection() const { return this->need_eof(); }
+    const Head &head() const { return m_head; }
+    Head &head() { return m_head; }
+    /// Returns the body bytes announced by Content-Length, or 0.
+    std::uint64_t announcedBodyBytes() const;
+
+private:
+    using ErrorCode = boost::beast::error_code;
+    using StringView = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb method, StringView methodText, StringView target,
+                         int version, ErrorCode &error) override;
+    void on_response_impl(int code, StringView reason, int version, ErrorCode &error) override;
+    void on_field_impl(boost::beast::http::field name, StringView nameText, StringView value,
+                       ErrorCode &error) override;
+    void on_header_impl(ErrorCode &error) override;
+    void on_body_init_impl(boost::optional<std::uint64_t> const &length, ErrorCode &error) override;
+    std::size_t on_body_impl(StringView body, ErrorCode &error) override;
+    void on_chunk_header_impl(std::uint64_t size, StringView extensions, ErrorCode &error) override;
+    std::size_t on_chunk_body_impl(std::uint64_t remain, StringView body,
+                                   ErrorCode &error) override;
+    void on_finish_impl(ErrorCode &error) override;
+
+    Head m_head;
+    BodySink m_sink;
+    bool m_headDone = false;
+};
+
+using HttpRequestReader = MessageReader<true>;
+using HttpAnswerReader = MessageReader<false>;
+
+extern template class MessageReader<true>;
+extern template class MessageReader<false>;
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/logging/json_decision_log.cpp
@@ -0,0 +1,86 @@
+#include "drivers/logging/json_decision_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+/// Lines a second by level. At today's load a daemon handles about 50 requests a second with four
+/// lines each.
+constexpr std::array<double, 3> linesPerSecond{300, 200, 300};
+constexpr std::array<std::string_view, 3> levelNames{"detail", "info", "warning"};
+
+std::size_t indexOf(LogLevel level)
+{
+    return static_cast<std::size_t>(level);
+}
+
+double wallClockSeconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<double>(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count())
+            / 1000;
+}
+
+} // namespace
+
+JsonDecisionLog::JsonDecisionLog(LogWriter &writer, const Clock &clock, std::string instance,
+                                 std::string incarnation)
+    : m_writer(writer)
+    , m_clock(clock)
+    , m_instance(std::move(instance))
+    , m_incarnation(std::move(incarnation))
+{
+    for (std::size_t level = 0; level < m_budgets.size(); ++level)
+        m_budgets.at(level) = {.lines = linesPerSecond.at(level), .filledAt = clock.now()};
+}
+
+void JsonDecisionLog::write(LogLevel level, std::string_view event, std::string_view request,
+                            std::initializer_list<LogField> fields)
+{
+    if (!take(level, m_clock.now())) {
+        ++m_dropped;
+        return;
+    }
+    nlohmann::ordered_json line{{"time", wallClockSeconds()},
+                                {"level", levelNames.at(indexOf(level))},
+                                {"instance", m_instance},
+                                {"incarnation", m_incarnation},
+                                {"event", event}};
+    if (!request.empty())
+        line["request"] = request;
+    for (const LogField &field : fields)
+        std::visit([&](const auto &value) { line[std::string(field.name)] = value; }, field.value);
+    m_writer.add(line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+}
+
+void JsonDecisionLog::reportDropped()
+{
+    const std::uint64_t dropped = std::exchange(m_dropped, 0) + m_writer.takeDropped();
+    if (dropped > 0) {
+        write(LogLevel::Info, "log-lines-dropped", {},
+              {{"lines", static_cast<std::int64_t>(dropped)}});
+    }
+}
+
+bool JsonDecisionLog::take(LogLevel level, Instant now)
+{
+    Budget &budget = m_budgets.at(indexOf(level));
+    const double rate = linesPerSecond.at(indexOf(level));
+    const double elapsed = std::chrono::duration<double>(now - budget.filledAt).count();
+    budget.lines = std::min(rate, budget.lines + elapsed * rate);
+    budget.filledAt = now;
+    if (budget.lines < 1)
+        return false;
+    budget.lines -= 1;
+    return true;
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/logging/json_decision_log.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/instant.h"
+#include "drivers/logging/log_writer.h"
+#include "drivers/time/clock.h"
+#include "servers/ports/decision_log.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace monsoonsail {
+
+/// Writes each decision as one JSON object on a line, within a bound of lines a second for each
+/// level. For one thread.
+class JsonDecisionLog : public DecisionLog
+{
+public:
+    /// `instance` and `incarnation` appear on every line. The references must outlive the log.
+    JsonDecisionLog(LogWriter &writer, const Clock &clock, std::string instance,
+                    std::string incarnation);
+
+    void write(LogLevel level, std::string_view event, std::string_view request,
+               std::initializer_list<LogField> fields) override;
+    /// Writes a line with the number of lines that were left out, if there are any.
+    void reportDropped();
+
+private:
+    struct Budget
+    {
+        double lines = 0;
+        Instant filledAt;
+    };
+
+    bool take(LogLevel level, Instant now);
+
+    LogWriter &m_writer;
+    const Clock &m_clock;
+    const std::string m_instance;
+    const std::string m_incarnation;
+    std::array<Budget, 3> m_budgets;
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace monsoonsail
--- a/drivers/logging/json_log_sink.cpp
+++ b/drivers/logging/json_log_sink.cpp
@@ -1,17 +1,14 @@
 #include "drivers/logging/json_log_sink.h"
 
-#include "drivers/logging/request_log_scope.h"
-
 #include <nlohmann/json.hpp>
 
-#include <unistd.h>
-
 #include <utility>
 
 namespace monsoonsail {
 
-JsonLogSink::JsonLogSink(const char *program, std::string instance)
+JsonLogSink::JsonLogSink(const char *program, std::string instance, LogWriter &writer)
     : m_instance(std::move(instance))
+    , m_writer(writer)
 {
     // Instances have no disks, so glog must not open a file for any severity.
     FLAGS_stderrthreshold = google::FATAL;
@@ -33,16 +30,12 @@
 {
     nlohmann::ordered_json object;
     object["time"] = static_cast<double>(time.timestamp()) + time.usec() * 1e-6;
-    object["severity"] = google::GetLogSeverityName(severity);
+    object["level"] = google::GetLogSeverityName(severity);
     object["instance"] = m_instance;
-    if (!RequestLogScope::current().empty())
-        object["request"] = RequestLogScope::current();
+    object["event"] = "message";
     object["source"] = std::string(baseFilename) + ":" + std::to_string(line);
     object["message"] = std::string(message, length);
-    const auto replace = nlohmann::ordered_json::error_handler_t::replace;
-    const std::string text = object.dump(-1, ' ', false, replace) + "\n";
-    // One write call for each line, so that lines of several threads do not mix.
-    [[maybe_unused]] const ssize_t written = ::write(STDERR_FILENO, text.data(), text.size());
+    m_writer.add(object.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
 } // namespace monsoonsail
--- a/drivers/logging/json_log_sink.h
+++ b/drivers/logging/json_log_sink.h
@@ -1,17 +1,20 @@
 #pragma once
 
+#include "drivers/logging/log_writer.h"
+
 #include <glog/logging.h>
 
 #include <string>
 
 namespace monsoonsail {
 
-/// Writes each log message as one JSON object on one line of standard error.
+/// Writes each message of glog as one JSON object on a line.
 class JsonLogSink : public google::LogSink
 {
 public:
-    /// Starts glog without log files. `instance` appears on every line.
-    JsonLogSink(const char *program, std::string instance);
+    /// Starts glog without log files. `instance` appears on every line. `writer` must outlive the
+    /// sink.
+    JsonLogSink(const char *program, std::string instance, LogWriter &writer);
     ~JsonLogSink() override;
     JsonLogSink(const JsonLogSink &) = delete;
     JsonLogSink &operator=(const JsonLogSink &) = delete;
@@ -21,7 +24,8 @@
               std::size_t length) override;
 
 private:
-    std::string m_instance;
+    const std::string m_instance;
+    LogWriter &m_writer;
 };
 
 } // namespace monsoonsail
--- /dev/null
+++ b/drivers/loop/event_loop.cpp
@@ -0,0 +1,159 @@
+#include "drivers/loop/event_loop.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+using Pistache::Flags;
+using Pistache::Polling::NotifyOn;
+
+constexpr int maxTimeoutMs = 1000;
+constexpr unsigned generationShift = 32;
+
+Flags<NotifyOn> flagsOf(EventLoop::Interest interest)
+{
+    Flags<NotifyOn> flags(NotifyOn::Shutdown);
+    if (interest != EventLoop::Interest::Hangup)
+        flags.setFlag(NotifyOn::Read);
+    if (interest == EventLoop::Interest::ReadWrite)
+        flags.setFlag(NotifyOn::Write);
+    return flags;
+}
+
+} // namespace
+
+EventLoop::EventLoop(const Clock &clock)
+    : m_clock(clock)
+    , m_now(clock.now())
+    , m_wakeup(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    if (m_wakeup < 0)
+        throw std::system_error(errno, std::system_category(), "cannot create the wakeup event");
+    m_poller.addFd(m_wakeup, Flags<NotifyOn>(NotifyOn::Read), tagOf(m_wakeup));
+}
+
+EventLoop::~EventLoop()
+{
+    ::close(m_wakeup);
+}
+
+void EventLoop::run()
+{
+    std::vector<Pistache::Polling::Event> events;
+    while (!m_stopped) {
+        events.clear();
+        m_poller.poll(events, std::chrono::milliseconds(timeoutMs()));
+        m_now = m_clock.now();
+        dispatch(events);
+        runPosted();
+        m_timers.runDue(m_now);
+    }
+}
+
+void EventLoop::stop()
+{
+    m_stopped = true;
+    post([] { });
+}
+
+void EventLoop::post(std::function<void()> task)
+{
+    bool wasEmpty = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wasEmpty = m_posted.empty();
+        m_posted.push_back(std::move(task));
+    }
+    if (!wasEmpty)
+        return;
+    // The write fails only if the counter is full, and then the loop is awake anyway.
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(m_wakeup, &one, sizeof one);
+}
+
+void EventLoop::add(int descriptor, DescriptorHandler &handler, Interest interest)
+{
+    const auto index = static_cast<std::size_t>(descriptor);
+    if (m_watches.size() <= index)
+        m_watches.resize(index + 1);
+    m_watches[index].handler = &handler;
+    ++m_watches[index].generation;
+    m_poller.addFd(descriptor, flagsOf(interest), tagOf(descriptor));
+}
+
+void EventLoop::change(int descriptor, Interest interest)
+{
+    m_poller.rearmFd(descriptor, flagsOf(interest), tagOf(descriptor));
+}
+
+void EventLoop::remove(int descriptor)
+{
+    m_watches[static_cast<std::size_t>(descriptor)].handler = nullptr;
+    m_poller.removeFd(descriptor);
+}
+
+Pistache::Polling::Tag EventLoop::tagOf(int descriptor) const
+{
+    const auto index = static_cast<std::size_t>(descriptor);
+    const std::uint64_t generation =
+            index < m_watches.size() ? m_watches[index].generation : std::uint64_t{0};
+    return Pistache::Polling::Tag(generation << generationShift | index);
+}
+
+void EventLoop::runPosted()
+{
+    std::vector<std::function<void()>> tasks;
+    {
+        const std::lock_guard lock(m_mutex);
+        tasks.swap(m_posted);
+    }
+    for (const std::function<void()> &task : tasks)
+        task();
+}
+
+int EventLoop::timeoutMs() const
+{
+    const auto deadline = m_timers.nextDeadline();
+    if (!deadline)
+        return maxTimeoutMs;
+    const Duration left = *deadline - m_clock.now();
+    if (left <= Duration::zero())
+        return 0;
+    // Rounds up, since a wait that ends too early would spin until the deadline.
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    return static_cast<int>(std::min<std::int64_t>(ms, maxTimeoutMs));
+}
+
+void EventLoop::dispatch(const std::vector<Pistache::Polling::Event> &events)
+{
+    for (const Pistache::Polling::Event &event : events) {
+        const auto descriptor = static_cast<int>(event.tag.value() & UINT32_MAX);
+        if (descriptor == m_wakeup) {
+            std::uint64_t count = 0;
+            [[maybe_unused]] const ssize_t size = ::read(m_wakeup, &count, sizeof count);
+            continue;
+        }
+        const Watch watch = m_watches[static_cast<std::size_t>(descriptor)];
+        // A handler that ran before in this round may have closed the descriptor.
+        if (watch.handler == nullptr || watch.generation != event.tag.value() >> generationShift)
+            continue;
+        const bool readable = event.flags.hasFlag(NotifyOn::Read);
+        const bool writable = event.flags.hasFlag(NotifyOn::Write);
+        // Pistache leaves out the error flag of epoll, so an event without any flag is an error.
+        watch.handler->ready({.readable = readable,
+                              .writable = writable,
+                              .hangup = event.flags.hasFlag(NotifyOn::Hangup)
+                                      || event.flags.hasFlag(NotifyOn::Shutdown)
+                                      || (!readable && !writable)});
+    }
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/loop/signal_watcher.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "drivers/loop/descriptor_handler.h"
+#include "drivers/loop/event_loop.h"
+
+#include <functional>
+#include <initializer_list>
+
+namespace monsoonsail {
+
+/// Reports signals of the process on an event loop. There is at most one.
+class SignalWatcher : public DescriptorHandler
+{
+public:
+    /// `received` gets the number of each signal. Throws std::system_error if no pipe is free.
+    SignalWatcher(EventLoop &loop, std::initializer_list<int> signals,
+                  std::function<void(int)> received);
+    ~SignalWatcher() override;
+    SignalWatcher(const SignalWatcher &) = delete;
+    SignalWatcher &operator=(const SignalWatcher &) = delete;
+
+    void ready(DescriptorState state) override;
+
+private:
+    EventLoop &m_loop;
+    const std::function<void(int)> m_received;
+    int m_readEnd = -1;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/attempt.cpp
@@ -0,0 +1,219 @@
+#include "drivers/traffic/attempt.h"
+
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr std::uint32_t maxAnswerHeaderBytes = 64U * 1024;
+/// Body of an answer that is kept until it is whole.
+constexpr std::uint64_t maxAnswerBodyBytes = 32ULL * 1024 * 1024;
+
+constexpr int firstFinalStatus = 200;
+constexpr int statusOk = 200;
+constexpr int firstRedirectStatus = 300;
+
+/// Part of the endpoint's idle timeout during which a kept connection is trusted: the endpoint's
+/// clock starts earlier than ours and its close needs time to get here.
+constexpr int keepAlivePercent = 75;
+
+bool isEventStream(const AnswerHead &head)
+{
+    const auto type = head.fields.find("Content-Type");
+    return type && type->starts_with("text/event-stream");
+}
+
+} // namespace
+
+Attempt::Attempt(AttemptStart start, std::string callerId, const WireCodec &codec,
+                 AttemptOwner &owner, EventLoop &loop)
+    : m_start(std::move(start))
+    , m_callerId(std::move(callerId))
+    , m_codec(codec)
+    , m_owner(owner)
+    , m_loop(loop)
+{ }
+
+Attempt::~Attempt()
+{
+    cancel();
+}
+
+void Attempt::begin(std::shared_ptr<EndpointConnection> connection, std::string request, bool reused,
+                    bool isHeadRequest)
+{
+    m_connection = std::move(connection);
+    m_reused = reused;
+    m_isHeadRequest = isHeadRequest;
+    m_request = std::move(request);
+    startReader();
+    m_connection->setUser(this);
+    if (m_connection->isConnected()) {
+        connected();
+        return;
+    }
+    m_connectTimer = m_loop.timers().schedule(m_start.connectDeadline, [this] {
+        end(AttemptResult::NotSent, "no connection in time");
+    });
+}
+
+void Attempt::cancel()
+{
+    m_ended = true;
+    m_loop.timers().cancel(m_connectTimer);
+    if (m_connection) {
+        m_connection->setUser(nullptr);
+        m_connection->close();
+        m_connection.reset();
+    }
+}
+
+void Attempt::connected()
+{
+    m_loop.timers().cancel(m_connectTimer);
+    if (m_loop.now() >= m_start.connectDeadline) {
+        end(AttemptResult::NotSent, "connected too late");
+        return;
+    }
+    m_sentAt = m_loop.now();
+    m_connection->send(std::exchange(m_request, {}));
+}
+
+void Attempt::startReader()
+{
+    m_mode = Mode::Unknown;
+    m_reader.emplace(maxAnswerHeaderBytes, maxAnswerBodyBytes);
+    if (m_isHeadRequest)
+        m_reader->expectNoBody();
+    m_reader->setBodySink([this](std::string_view bytes) { receiveBody(bytes); });
+}
+
+void Attempt::received(std::string &input)
+{
+    while (!m_ended && !input.empty()) {
+        std::error_code error;
+        const std::size_t used = m_reader->read(input, error);
+        if (m_ended)
+            return;
+        input.erase(0, used);
+        if (error) {
+            end(AttemptResult::Interrupted, "the answer is not HTTP: " + error.message());
+            return;
+        }
+        if (m_mode == Mode::Unknown && m_reader->isHeadComplete())
+            judgeHead();
+        if (m_mode == Mode::Relayed && !relayEvents())
+            return;
+        if (!m_reader->isComplete())
+            return;
+        if (finishAnswer())
+            return;
+    }
+}
+
+void Attempt::judgeHead()
+{
+    const AnswerHead &head = m_reader->head();
+    if (head.status < firstFinalStatus) {
+        m_mode = Mode::Foreign;
+        return;
+    }
+    m_traits = m_codec.inspect(head);
+    if (m_traits.callerId && *m_traits.callerId != m_callerId) {
+        m_mode = Mode::Foreign;
+        return;
+    }
+    const bool isStream = m_start.isStream && head.status == statusOk && isEventStream(head);
+    m_mode = isStream ? Mode::Relayed : Mode::Buffered;
+}
+
+void Attempt::receiveBody(std::string_view bytes)
+{
+    if (m_mode == Mode::Unknown)
+        judgeHead();
+    if (m_mode == Mode::Relayed)
+        m_events.add(bytes);
+    else if (m_mode == Mode::Buffered)
+        m_body.append(bytes);
+}
+
+bool Attempt::relayEvents()
+{
+    while (const auto event = m_events.next()) {
+        m_owner.relay(*this, m_reader->head(), *event, m_events.id());
+        if (m_ended)
+            return false;
+    }
+    return true;
+}
+
+/// Returns whether the attempt is over; otherwise the next answer is expected.
+bool Attempt::finishAnswer()
+{
+    if (m_mode != Mode::Foreign) {
+        complete();
+        return true;
+    }
+    if (!m_reader->head().keepAlive && m_reader->head().status >= firstFinalStatus) {
+        end(AttemptResult::Interrupted, "the connection ended with another request's answer");
+        return true;
+    }
+    startReader();
+    return false;
+}
+
+void Attempt::complete()
+{
+    if (m_mode == Mode::Relayed && m_events.hasRemainder())
+        end(AttemptResult::Interrupted, "the stream ended within an event");
+    else if (m_mode == Mode::Relayed)
+        end(AttemptResult::Streamed, {});
+    else if (m_traits.misdirected)
+        end(AttemptResult::Misdirected, "another endpoint has the address");
+    else if (m_traits.notRun)
+        end(AttemptResult::Declined, "the endpoint declined");
+    else
+        end(AttemptResult::Answered, {});
+}
+
+void Attempt::broken(bool inOrder, std::string_view reason)
+{
+    if (!m_connection->hasSent()) {
+        end(AttemptResult::NotSent, reason);
+        return;
+    }
+    // An answer without a length is whole when the endpoint closes in order.
+    std::error_code error;
+    if (inOrder && m_reader->isHeadComplete() && !m_reader->isComplete() && m_mode != Mode::Foreign
+        && m_reader->endsWithConnection()) {
+        m_reader->readEnd(error);
+        if (!error && !m_ended && (m_mode != Mode::Relayed || relayEvents())) {
+            complete();
+            return;
+        }
+    }
+    end(AttemptResult::Interrupted, reason);
+}
+
+void Attempt::end(AttemptResult result, std::string_view reason)
+{
+    if (std::exchange(m_ended, true))
+        return;
+    m_owner.ended(*this, result, reason);
+}
+
+std::shared_ptr<EndpointConnection> Attempt::takeReusableConnection()
+{
+    const bool isWhole = m_reader->isComplete() && m_reader->head().keepAlive
+            && !m_reader->endsWithConnection();
+    if (!isWhole || !m_connection->isOpen() || !m_connection->isQuiet())
+        return nullptr;
+    m_connection->setUser(nullptr);
+    m_connection->lastUsed = m_loop.now();
+    if (m_traits.keepAlive)
+        m_connection->keepUntil = m_loop.now() + Duration(*m_traits.keepAlive) * keepAlivePercent / 100;
+    return std::exchange(m_connection, nullptr);
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/caller_connection.cpp
@@ -0,0 +1,241 @@
+#include "drivers/traffic/caller_connection.h"
+
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr std::size_t readBytes = 32UL * 1024;
+/// Bytes of answers that wait for a caller; more than any answer of a caller that reads.
+constexpr std::size_t maxOutputBytes = 16UL * 1024 * 1024;
+/// Bytes of pipelined requests that are taken from the socket while one is answered.
+constexpr std::size_t maxEarlyBytes = 64UL * 1024;
+/// A caller that takes no byte for so long is closed.
+constexpr Duration slowReaderTimeout = std::chrono::seconds(10);
+
+constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string bareAnswer(std::string_view statusLine)
+{
+    return "HTTP/1.1 " + std::string(statusLine)
+            + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(EventLoop &loop, Socket socket, CallerConnectionOwner &owner)
+    : m_loop(loop)
+    , m_socket(std::move(socket))
+    , m_owner(owner)
+    , m_readDeadline(loop.now() + owner.limits().idleTimeout)
+{
+    m_loop.add(m_socket.descriptor(), *this, m_interest);
+}
+
+CallerConnection::~CallerConnection()
+{
+    if (m_socket.isOpen())
+        m_loop.remove(m_socket.descriptor());
+}
+
+void CallerConnection::ready(DescriptorState state)
+{
+    // The owner drops the connection when it closes.
+    const auto self = shared_from_this();
+    if (state.writable)
+        flush();
+    if (isOpen() && state.readable && m_interest != EventLoop::Interest::Hangup)
+        receive();
+    // Without interest in reading, a hangup is the only sign of a caller that has left.
+    if (isOpen() && state.hangup && (m_answering || m_interest == EventLoop::Interest::Hangup))
+        close();
+}
+
+void CallerConnection::receive()
+{
+    std::array<char, readBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    std::error_code error;
+    const std::size_t size = m_socket.receive(buffer, error);
+    if (error == std::errc::operation_would_block)
+        return;
+    if (error || size == 0) {
+        close();
+        return;
+    }
+    m_input.append(buffer.data(), size);
+    process();
+}
+
+void CallerConnection::process()
+{
+    // An answer that is ended while a request is handed over comes back here.
+    if (m_processing)
+        return;
+    m_processing = true;
+    while (isOpen() && !m_answering && !m_closeWhenSent && !m_input.empty()) {
+        if (!m_reader)
+            startReader();
+        if (m_input.empty())
+            break;
+        const bool hadHead = m_reader->isHeadComplete();
+        std::error_code error;
+        m_input.erase(0, m_reader->read(m_input, error));
+        if (error) {
+            reject(error);
+            break;
+        }
+        if (!hadHead && m_reader->isHeadComplete()) {
+            m_headAt = m_loop.now();
+            if (!m_reader->isComplete() && m_reader->head().fields.find("Expect"))
+                write(continueAnswer);
+        }
+        if (!m_reader->isComplete()) {
+            if (m_reader->isHeadComplete())
+                m_readDeadline = m_loop.now() + m_owner.limits().idleTimeout;
+            break;
+        }
+        complete();
+    }
+    m_processing = false;
+    if (isOpen())
+        watch();
+}
+
+void CallerConnection::startReader()
+{
+    // Some clients send an empty line after a body.
+    m_input.erase(0, std::min(m_input.find_first_not_of("\r\n"), m_input.size()));
+    const ConnectionLimits &limits = m_owner.limits();
+    m_body.clear();
+    m_reader.emplace(limits.maxHeaderBytes, limits.maxBodyBytes);
+    m_reader->setBodySink([this](std::string_view bytes) { m_body.append(bytes); });
+    m_readDeadline = m_loop.now() + limits.headerTimeout;
+}
+
+void CallerConnection::complete()
+{
+    RequestHead head = std::move(m_reader->head());
+    m_reader.reset();
+    m_answering = true;
+    m_mayKeep = head.keepAlive;
+    m_owner.received(*this, std::move(head), std::exchange(m_body, {}), m_headAt);
+}
+
+void CallerConnection::reject(const std::error_code &error)
+{
+    using boost::beast::http::make_error_code;
+    const auto is = [&error](boost::beast::http::error kind) {
+        return error == std::error_code(make_error_code(kind));
+    };
+    m_input.clear();
+    m_reader.reset();
+    m_closeWhenSent = true;
+    if (is(boost::beast::http::error::body_limit))
+        write(bareAnswer("413 Content Too Large"));
+    else if (is(boost::beast::http::error::header_limit))
+        write(bareAnswer("431 Request Header Fields Too Large"));
+    else
+        write(bareAnswer("400 Bad Request"));
+}
+
+void CallerConnection::write(std::string_view bytes)
+{
+    if (!isOpen())
+        return;
+    if (m_output.empty())
+        m_writeDeadline = m_loop.now() + slowReaderTimeout;
+    m_output.append(bytes);
+    if (m_output.size() > maxOutputBytes) {
+        close();
+        return;
+    }
+    flush();
+}
+
+void CallerConnection::endAnswer(bool keep)
+{
+    m_answering = false;
+    m_closeWhenSent = !keep;
+    m_readDeadline = m_loop.now() + m_owner.limits().idleTimeout;
+    if (m_closeWhenSent && m_output.empty()) {
+        close();
+        return;
+    }
+    if (isOpen())
+        process();
+}
+
+void CallerConnection::flush()
+{
+    while (isOpen() && !m_output.empty()) {
+        std::error_code error;
+        const std::size_t size = m_socket.send(m_output, error);
+        if (error) {
+            close();
+            return;
+        }
+        if (size == 0)
+            break;
+        m_output.erase(0, size);
+        m_writeDeadline = m_loop.now() + slowReaderTimeout;
+    }
+    if (isOpen() && m_output.empty() && m_closeWhenSent && !m_answering) {
+        close();
+        return;
+    }
+    if (isOpen())
+        watch();
+}
+
+void CallerConnection::watch()
+{
+    EventLoop::Interest interest = EventLoop::Interest::Read;
+    if (!m_output.empty())
+        interest = EventLoop::Interest::ReadWrite;
+    else if (m_answering && m_input.size() > maxEarlyBytes)
+        interest = EventLoop::Interest::Hangup;
+    if (interest == m_interest)
+        return;
+    m_interest = interest;
+    m_loop.change(m_socket.descriptor(), interest);
+}
+
+void CallerConnection::close()
+{
+    if (!isOpen())
+        return;
+    m_loop.remove(m_socket.descriptor());
+    m_socket.close();
+    if (std::exchange(m_answering, false))
+        m_owner.callerGone(*this);
+    m_owner.closed(*this);
+}
+
+void CallerConnection::expire(Instant now)
+{
+    if (!m_output.empty() && m_writeDeadline <= now) {
+        close();
+        return;
+    }
+    if (m_answering || m_readDeadline > now)
+        return;
+    if (m_reader && m_reader->isStarted())
+        rejectLate();
+    else
+        close();
+}
+
+void CallerConnection::rejectLate()
+{
+    m_input.clear();
+    m_reader.reset();
+    m_closeWhenSent = true;
+    write(bareAnswer("408 Request Timeout"));
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/caller_listener.cpp
@@ -0,0 +1,37 @@
+#include "drivers/traffic/caller_listener.h"
+
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+/// Connections that are accepted in one round, so that a crowd of new callers does not hold up
+/// those that are being served.
+constexpr int acceptsPerRound = 32;
+} // namespace
+
+CallerListener::CallerListener(EventLoop &loop, std::string_view address,
+                               std::function<void(Socket)> accepted)
+    : m_loop(loop)
+    , m_socket(Socket::listening(address))
+    , m_accepted(std::move(accepted))
+{
+    m_loop.add(m_socket.descriptor(), *this, EventLoop::Interest::Read);
+}
+
+CallerListener::~CallerListener()
+{
+    m_loop.remove(m_socket.descriptor());
+}
+
+void CallerListener::ready(DescriptorState /*state*/)
+{
+    for (int count = 0; count < acceptsPerRound; ++count) {
+        Socket socket = m_socket.accept();
+        if (!socket.isOpen())
+            return;
+        m_accepted(std::move(socket));
+    }
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/caller_listener.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "drivers/loop/descriptor_handler.h"
+#include "drivers/loop/event_loop.h"
+#include "drivers/net/socket.h"
+
+#include <functional>
+#include <string_view>
+
+namespace monsoonsail {
+
+/// Accepts connections on one address.
+class CallerListener : public DescriptorHandler
+{
+public:
+    /// Throws std::system_error if the address can't be bound.
+    CallerListener(EventLoop &loop, std::string_view address,
+                   std::function<void(Socket)> accepted);
+    ~CallerListener() override;
+    CallerListener(const CallerListener &) = delete;
+    CallerListener &operator=(const CallerListener &) = delete;
+
+    void ready(DescriptorState state) override;
+    unsigned port() const { return m_socket.port(); }
+
+private:
+    EventLoop &m_loop;
+    Socket m_socket;
+    std::function<void(Socket)> m_accepted;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/endpoint_connection.cpp
@@ -0,0 +1,158 @@
+#include "drivers/traffic/endpoint_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr std::size_t readBytes = 32UL * 1024;
+/// Sent bytes that stay unacknowledged for so long reset the connection: an endpoint behind a
+/// partition does not answer at all.
+constexpr unsigned userTimeoutMs = 3000;
+
+} // namespace
+
+EndpointConnection::EndpointConnection(EventLoop &loop, EndpointId endpoint)
+    : m_loop(loop)
+    , m_endpoint(std::move(endpoint))
+{ }
+
+EndpointConnection::~EndpointConnection()
+{
+    close();
+}
+
+std::error_code EndpointConnection::connect(std::string_view address)
+{
+    std::error_code error;
+    m_socket = Socket::connecting(address, error);
+    if (error) {
+        m_socket.close();
+        return error;
+    }
+    m_socket.setUserTimeoutMs(userTimeoutMs);
+    m_loop.add(m_socket.descriptor(), *this, m_interest);
+    return {};
+}
+
+void EndpointConnection::ready(DescriptorState state)
+{
+    // The user may let go of the connection while it is called.
+    const auto self = shared_from_this();
+    if (!m_connected) {
+        if (state.writable || state.hangup)
+            finishConnecting();
+        return;
+    }
+    if (state.writable)
+        flush();
+    // A read also tells the end of the stream and errors.
+    if (isOpen() && (state.readable || state.hangup))
+        receive();
+}
+
+void EndpointConnection::finishConnecting()
+{
+    const std::error_code error = m_socket.error();
+    if (error) {
+        fail(false, error.message());
+        return;
+    }
+    m_connected = true;
+    if (m_user != nullptr)
+        m_user->connected();
+    if (isOpen())
+        flush();
+}
+
+void EndpointConnection::setUser(EndpointConnectionUser *user)
+{
+    m_user = user;
+    m_hasSent = false;
+}
+
+void EndpointConnection::send(std::string_view bytes)
+{
+    m_output.append(bytes);
+    if (m_connected)
+        flush();
+}
+
+void EndpointConnection::receive()
+{
+    std::array<char, readBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    std::error_code error;
+    const std::size_t size = m_socket.receive(buffer, error);
+    if (error == std::errc::operation_would_block)
+        return;
+    if (error || size == 0) {
+        fail(!error, error ? error.message() : "the endpoint closed the connection");
+        return;
+    }
+    m_input.append(buffer.data(), size);
+    if (m_user == nullptr) {
+        fail(false, "bytes without a request");
+        return;
+    }
+    m_user->received(m_input);
+}
+
+void EndpointConnection::flush()
+{
+    while (!m_output.empty()) {
+        std::error_code error;
+        const std::size_t size = m_socket.send(m_output, error);
+        if (error) {
+            // What the endpoint has sent before it closed may hold the answer.
+            m_output.clear();
+            receive();
+            if (isOpen())
+                fail(false, error.message());
+            return;
+        }
+        if (size == 0)
+            break;
+        m_hasSent = true;
+        m_output.erase(0, size);
+    }
+    watch();
+}
+
+void EndpointConnection::watch()
+{
+    const auto interest =
+            m_output.empty() ? EventLoop::Interest::Read : EventLoop::Interest::ReadWrite;
+    if (interest == m_interest)
+        return;
+    m_interest = interest;
+    m_loop.change(m_socket.descriptor(), interest);
+}
+
+bool EndpointConnection::isStale() const
+{
+    char byte = 0;
+    const ssize_t size = ::recv(m_socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void EndpointConnection::fail(bool inOrder, std::string_view reason)
+{
+    close();
+    if (EndpointConnectionUser *user = std::exchange(m_user, nullptr))
+        user->broken(inOrder, reason);
+}
+
+void EndpointConnection::close()
+{
+    if (!m_socket.isOpen())
+        return;
+    m_loop.remove(m_socket.descriptor());
+    m_socket.close();
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/event_splitter.cpp
@@ -0,0 +1,54 @@
+#include "drivers/traffic/event_splitter.h"
+
+#include <charconv>
+
+namespace monsoonsail {
+
+namespace {
+
+/// Returns the length of the event at the front of `text`, its blank line included, or npos.
+std::size_t eventLength(std::string_view text)
+{
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t carriage = text.find("\r\n\r\n");
+    if (carriage < plain)
+        return carriage + 4;
+    return plain == std::string_view::npos ? plain : plain + 2;
+}
+
+std::optional<EventId> eventId(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(field))
+            continue;
+        line.remove_prefix(field.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        EventId id = 0;
+        const auto [rest, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string_view> EventSplitter::next()
+{
+    m_buffer.erase(0, m_consumed);
+    m_consumed = 0;
+    const std::size_t length = eventLength(m_buffer);
+    if (length == std::string_view::npos)
+        return std::nullopt;
+    m_consumed = length;
+    const std::string_view event = std::string_view(m_buffer).substr(0, length);
+    m_id = eventId(event);
+    return event;
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/local_server.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "drivers/loop/event_loop.h"
+#include "drivers/traffic/caller_connection.h"
+#include "drivers/traffic/caller_listener.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+namespace monsoonsail {
+
+/// A small HTTP server on an event loop for answers that are ready at once.
+class LocalServer : private CallerConnectionOwner
+{
+public:
+    struct Answer
+    {
+        int status = 200;
+        std::string contentType = "text/plain";
+        std::string body;
+    };
+    using Handler = std::function<Answer(const RequestHead &, std::string_view body)>;
+
+    /// Listens on "IP:port". Throws std::system_error if that fails. `loop` must outlive it.
+    LocalServer(EventLoop &loop, std::string_view address, Handler handler);
+    ~LocalServer() override;
+    LocalServer(const LocalServer &) = delete;
+    LocalServer &operator=(const LocalServer &) = delete;
+
+    unsigned port() const { return m_listener.port(); }
+
+private:
+    void received(CallerConnection &connection, RequestHead head, std::string body,
+                  Instant headAt) override;
+    void callerGone(CallerConnection & /*connection*/) override { }
+    void closed(CallerConnection &connection) override;
+    const ConnectionLimits &limits() const override { return m_limits; }
+    bool isStopping() const override { return false; }
+    void sweep();
+
+    EventLoop &m_loop;
+    const ConnectionLimits m_limits;
+    const Handler m_handler;
+    std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
+    CallerListener m_listener;
+    TimerQueue::Handle m_sweepTimer;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/traffic.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "drivers/loop/event_loop.h"
+#include "drivers/traffic/attempt.h"
+#include "drivers/traffic/caller_connection.h"
+#include "drivers/traffic/caller_listener.h"
+#include "drivers/traffic/endpoint_pool.h"
+#include "drivers/traffic/exchange.h"
+#include "drivers/traffic/wire_codec.h"
+#include "servers/ports/traffic_listener.h"
+#include "servers/ports/traffic_port.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace monsoonsail {
+
+/// Carries requests between callers and endpoints, as the core decides. For the thread of `loop`.
+class Traffic : public TrafficPort, private CallerConnectionOwner, private AttemptOwner
+{
+public:
+    /// All references must outlive the object.
+    Traffic(EventLoop &loop, const WireCodec &codec, TrafficListener &listener);
+    ~Traffic() override;
+    Traffic(const Traffic &) = delete;
+    Traffic &operator=(const Traffic &) = delete;
+
+    /// Accepts callers on "IP:port". Throws std::system_error if that fails.
+    void listen(std::string_view address);
+
+    void start(const AttemptStart &attempt) override;
+    void cancel(RequestNumber request, AttemptNumber attempt) override;
+    void refuse(const Refusal &refusal) override;
+    void deliver(RequestNumber request, AttemptNumber attempt) override;
+    void breakOff(RequestNumber request) override;
+    void finish(RequestNumber request) override;
+    void forget(const EndpointId &endpoint) override;
+    void apply(const ConnectionLimits &limits) override;
+    void beginStop() override;
+
+    /// Returns the port that callers connect to.
+    unsigned port() const { return m_callers->port(); }
+
+private:
+    void received(CallerConnection &connection, RequestHead head, std::string body,
+                  Instant headAt) override;
+    void callerGone(CallerConnection &connection) override;
+    void closed(CallerConnection &connection) override;
+    const ConnectionLimits &limits() const override { return m_limits; }
+    bool isStopping() const override { return m_stopping; }
+
+    void relay(Attempt &attempt, const AnswerHead &head, std::string_view event,
+               std::optional<EventId> id) override;
+    void ended(Attempt &attempt, AttemptResult result, std::string_view reason) override;
+
+    Exchange *find(RequestNumber request);
+    std::shared_ptr<EndpointConnection> connect(const AttemptStart &start, bool &reused,
+                                                std::string &reason);
+    void startAnswer(Exchange &exchange, const AnswerHead &head);
+    void retire(Exchange &exchange, AttemptNumber attempt);
+    void erase(RequestNumber request);
+    void reportProgress();
+    void sweep();
+
+    EventLoop &m_loop;
+    const WireCodec &m_codec;
+    TrafficListener &m_listener;
+    ConnectionLimits m_limits;
+    bool m_stopping = false;
+    std::unique_ptr<CallerListener> m_callers;
+    EndpointPool m_endpoints;
+    std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
+    std::unordered_map<RequestNumber, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<const CallerConnection *, RequestNumber> m_requestOf;
+    /// Attempts that have ended; they may still be running further up the stack.
+    std::vector<std::unique_ptr<Attempt>> m_retired;
+    std::unordered_set<RequestNumber> m_progressed; ///< Exchanges with unreported events.
+    RequestNumber m_lastRequest = 0;
+    TimerQueue::Handle m_progressTimer;
+    TimerQueue::Handle m_sweepTimer;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/traffic/wire_codec.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/error_kind.h"
+#include "core/instant.h"
+#include "drivers/http/message_head.h"
+#include "servers/serving/attempt_start.h"
+#include "servers/serving/refusal.h"
+#include "servers/serving/request_arrival.h"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace monsoonsail {
+
+/// What an endpoint's answer says of itself in its header.
+struct AnswerTraits
+{
+    std::optional<std::string> callerId; ///< The request that it answers, if it names one.
+    bool notRun = false;                 ///< The endpoint did not run the request.
+    bool misdirected = false;            ///< The endpoint is not the one that was named.
+    std::optional<std::chrono::seconds> keepAlive; ///< How long the connection may stay idle.
+};
+
+/// Translates between HTTP as callers and endpoints speak it and the types of the product.
+class WireCodec
+{
+public:
+    virtual ~WireCodec() = default;
+
+    /// Fills in everything but the number. `arrival.arrivedAt` is set before.
+    virtual ErrorKind describe(const RequestHead &head, RequestArrival &arrival) const = 0;
+    /// Appends the head with which a request goes to an endpoint.
+    virtual void writeForwarded(const RequestHead &head, const AttemptStart &attempt,
+                                std::size_t bodyBytes, Instant now, std::string &output) const = 0;
+    virtual AnswerTraits inspect(const AnswerHead &head) const = 0;
+    /// Appends header lines that belong to every answer of our own to this request.
+    virtual void writeOwnFields(const RequestHead &head, std::string &output) const = 0;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/main/monsoonsaild/control_plane.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "drivers/http/curl_client.h"
+#include "drivers/logging/json_decision_log.h"
+#include "drivers/loop/event_loop.h"
+#include "drivers/settings/serving_settings.h"
+#include "drivers/traffic/local_server.h"
+#include "platform/store_client.h"
+#include "platform/store_site_codec.h"
+#include "servers/endpoints/endpoint_feed.h"
+#include "servers/ports/traffic_listener.h"
+#include "servers/serving/serving_core.h"
+#include "servers/site/configuration_feed.h"
+#include "servers/store/topic_follower.h"
+
+#include <optional>
+
+namespace monsoonsail {
+
+/// The core of one entry daemon with everything that it hears from the platform. For the thread of
+/// its loop, the control thread.
+class ControlPlane : public TrafficListener
+{
+public:
+    /// All references must outlive the object.
+    ControlPlane(const ServingSettings &settings, EventLoop &loop, TrafficPort &traffic,
+                 LogWriter &logs, const std::string &incarnation);
+    ~ControlPlane() override;
+    ControlPlane(const ControlPlane &) = delete;
+    ControlPlane &operator=(const ControlPlane &) = delete;
+
+    /// Starts to follow the platform and to answer readiness checks.
+    void start();
+    /// Begins a planned stop; the loop ends when it is over. Repeating it changes nothing.
+    void requestStop();
+
+    void arrived(const RequestArrival &request) override;
+    void callerGone(RequestNumber request) override;
+    void progressed(std::span<const StreamProgress> streams) override;
+    void ended(const AttemptEnd &end) override;
+
+private:
+    TopicFollower::Scheduler scheduler();
+    LocalServer::Answer answer(const RequestHead &head) const;
+    bool isReady() const;
+    void armTimer();
+    void expire();
+    void tick();
+    void checkStop();
+
+    const ServingSettings m_settings;
+    EventLoop &m_loop;
+    LogWriter &m_logs;
+    JsonDecisionLog m_log;
+    ServingContext m_context;
+    ServingCore m_core;
+    CurlClient m_http;
+    platform::StoreClient m_store;
+    platform::StoreSiteCodec m_codec;
+    ConfigurationFeed m_configurationFeed;
+    EndpointFeed m_endpointFeed;
+    TopicFollower m_configurationFollower;
+    TopicFollower m_endpointFollower;
+    std::optional<LocalServer> m_readyServer;
+    TimerQueue::Handle m_timer;
+    TimerQueue::Handle m_tickTimer;
+    bool m_stopping = false;
+    Instant m_stopRequestedAt;
+};
+
+} // namespace monsoonsail
--- a/main/monsoonsaild/main.cpp
+++ b/main/monsoonsaild/main.cpp
@@ -1,12 +1,15 @@
 #include "drivers/logging/json_log_sink.h"
-#include "main/monsoonsaild/daemon.h"
+#include "drivers/settings/serving_settings.h"
+#include "main/monsoonsaild/serving_daemon.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <glog/logging.h>
 
-#include <csignal>
+#include <unistd.h>
+
+#include <chrono>
 #include <exception>
 #include <fstream>
 #include <iostream>
@@ -22,8 +25,8 @@
 
 using namespace monsoonsail;
 
+constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
-constexpr long signalCheckIntervalNs = 50'000'000;
 
 std::optional<std::string> readFile(const std::string &path)
 {
@@ -35,12 +38,7 @@
     return text.str();
 }
 
-std::string firstLine(const std::string &text)
-{
-    return text.substr(0, text.find('\n'));
-}
-
-std::optional<ProcessSettings> loadSettings(const std::string &path)
+std::optional<ServingSettings> loadSettings(const std::string &path)
 {
     const auto text = readFile(path);
     if (!text) {
@@ -48,7 +46,7 @@
         return std::nullopt;
     }
     std::vector<ConfigurationFault> faults;
-    ProcessSettings settings = readProcessSettings(*text, path, faults);
+    ServingSettings settings = readServingSettings(*text, path, faults);
     for (const ConfigurationFault &fault : faults)
         std::cerr << describe(fault) << "\n";
     if (!faults.empty())
@@ -56,37 +54,12 @@
     return settings;
 }
 
-/// Blocks the stop signals in this and all later threads, so that sigwait receives them.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
-Incarnation newIncarnation(const std::string &instance)
+/// Tells this life of the process apart from all others of the instance.
+std::string newIncarnation(const std::string &instance)
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch);
-    return Incarnation(instance + "." + std::to_string(microseconds.count()));
-}
-
-int run(const ProcessSettings &settings, const std::string &secret)
-{
-    const sigset_t signals = blockStopSignals();
-    Daemon daemon(settings, newIncarnation(settings.instance), secret);
-    // The main thread waits itself: another thread could still use the daemon after its end. A
-    // second signal asks for the same stop again; it does not cut requests off.
-    const timespec interval{.tv_sec = 0, .tv_nsec = signalCheckIntervalNs};
-    while (!daemon.isStopped()) {
-        if (sigtimedwait(&signals, nullptr, &interval) > 0)
-            daemon.requestStop();
-    }
-    daemon.waitUntilStopped();
-    return 0;
+    return instance + "." + std::to_string(microseconds.count());
 }
 
 } // namespace
@@ -98,18 +71,17 @@
     const auto settings = loadSettings(absl::GetFlag(FLAGS_settings));
     if (!settings)
         return exitUsage;
-    const auto secret = readFile(settings->peerSecretFile);
-    if (!secret || firstLine(*secret).empty()) {
-        std::cerr << "cannot read the secret in \"" << settings->peerSecretFile << "\"\n";
-        return exitUsage;
-    }
     if (absl::GetFlag(FLAGS_check))
         return 0;
-    const JsonLogSink logs(argv[0], settings->instance);
+    LogWriter logs(STDOUT_FILENO);
+    const JsonLogSink sink(argv[0], settings->instance, logs);
     try {
-        return run(*settings, firstLine(*secret));
+        ServingDaemon daemon(*settings, newIncarnation(settings->instance), logs);
+        daemon.run();
     } catch (const std::exception &error) {
         LOG(ERROR) << "cannot start: " << error.what();
-        return 1;
+        logs.flush();
+        return exitFailure;
     }
+    return 0;
 }
--- /dev/null
+++ b/servers/endpoints/endpoint.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/endpoints/endpoint_listing.h"
+
+namespace monsoonsail {
+
+/// Whether an endpoint may be given work.
+enum class EndpointState {
+    Ready,
+    Unlisted, ///< Its entry is gone. It has left, or the entry has lapsed.
+    Leaving,  ///< It has said that it leaves; it takes no new work for good.
+};
+
+/// One incarnation of an endpoint as this entry instance knows it.
+struct Endpoint
+{
+    EndpointId id;
+    EndpointListing listing;
+    EndpointState state = EndpointState::Ready;
+    Instant stateSince;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -0,0 +1,66 @@
+#include "servers/endpoints/endpoint_feed.h"
+
+namespace monsoonsail {
+
+namespace {
+
+std::string_view stateName(EndpointState state)
+{
+    switch (state) {
+    case EndpointState::Ready:
+        return "ready";
+    case EndpointState::Unlisted:
+        return "unlisted";
+    case EndpointState::Leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+EndpointFeed::EndpointFeed(ServingContext &context, const SiteCodec &codec)
+    : m_context(context)
+    , m_codec(codec)
+{
+    m_context.endpoints.setObserver([this](const Endpoint &endpoint) { stateChanged(endpoint); });
+}
+
+void EndpointFeed::changed(const LogRecord &record, Instant now)
+{
+    std::string fault;
+    const auto listing = m_codec.listing(record.key, record.value, now, fault);
+    if (!listing) {
+        m_context.log.write(LogLevel::Warning, "endpoint-entry-unreadable", {},
+                            {{"instance", record.key}, {"reason", fault}});
+        return;
+    }
+    m_context.endpoints.listed(*listing, now);
+}
+
+void EndpointFeed::dropped(const std::string &key, Instant now)
+{
+    m_context.endpoints.unlisted(key, now);
+}
+
+void EndpointFeed::current(Instant /*asOf*/, Instant now)
+{
+    for (const EndpointId &endpoint : m_context.endpoints.forget(now)) {
+        m_context.placer->removed(endpoint);
+        m_context.traffic.forget(endpoint);
+    }
+}
+
+void EndpointFeed::interrupted(std::error_code /*error*/, Instant /*now*/) { }
+
+void EndpointFeed::stateChanged(const Endpoint &endpoint)
+{
+    m_context.log.write(LogLevel::Info, "endpoint-state", {},
+                        {{"endpoint", endpoint.id.view()},
+                         {"service", endpoint.listing.service.view()},
+                         {"zone", endpoint.listing.zone.view()},
+                         {"reclaimable", endpoint.listing.isReclaimable},
+                         {"state", stateName(endpoint.state)}});
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/endpoints/endpoint_registry.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/endpoints/endpoint.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace monsoonsail {
+
+/// The endpoints that the platform lists, by incarnation.
+class EndpointRegistry
+{
+public:
+    /// Told of endpoints whose state has changed.
+    using Observer = std::function<void(const Endpoint &)>;
+
+    void setObserver(Observer observer) { m_observer = std::move(observer); }
+
+    /// Takes over an entry of the list. Entries of an earlier incarnation, or older than what is
+    /// known, change nothing.
+    void listed(const EndpointListing &listing, Instant now);
+    /// The instance has no entry any more.
+    void unlisted(const std::string &instance, Instant now);
+    /// Marks every instance that is not in `instances` as unlisted.
+    void unlistOthers(const std::vector<std::string> &instances, Instant now);
+    /// The endpoint itself, or another entry instance, says that it leaves.
+    void leaving(const EndpointId &endpoint, Instant now);
+
+    /// Returns the endpoint, or nullptr if it was never listed or has been forgotten.
+    const Endpoint *find(const EndpointId &endpoint) const;
+    /// Returns all endpoints that are known, in order of id.
+    const std::map<EndpointId, Endpoint> &all() const { return m_endpoints; }
+    /// Drops endpoints that have long been unlisted and returns them.
+    std::vector<EndpointId> forget(Instant now);
+
+private:
+    void change(Endpoint &endpoint, EndpointState state, Instant now);
+
+    std::map<EndpointId, Endpoint> m_endpoints;
+    std::map<std::string, EndpointId, std::less<>> m_current; ///< Newest incarnation by instance.
+    Observer m_observer;
+};
+
+/// Returns the id of an incarnation.
+EndpointId endpointId(const std::string &instance, std::int64_t startedMs);
+
+} // namespace monsoonsail
--- a/servers/entry/events/timer_expired.h
+++ /dev/null
@@ -1,9 +0,0 @@
-#pragma once
-
-namespace monsoonsail {
-
-/// The deadline that the core asked for has passed.
-struct TimerExpired
-{ };
-
-} // namespace monsoonsail
--- /dev/null
+++ b/servers/placement/placement.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/endpoints/endpoint.h"
+#include "servers/serving/attempt_start.h"
+#include "servers/serving/prompt_part.h"
+#include "servers/site/service.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace monsoonsail {
+
+/// What placing needs to know of a request. It refers to data of the request.
+struct PlacementRequest
+{
+    const Service *service = nullptr;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0; ///< Expected.
+    std::span<const PromptPart> parts;
+    bool isRepeat = false; ///< Whether it has been tried before.
+};
+
+/// The endpoint that gets a request.
+struct Placement
+{
+    EndpointId endpoint;
+    CacheSource cache;
+    Instant expectedStart; ///< When its first byte is expected.
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/ports/decision_log.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace monsoonsail {
+
+/// A named value of a log line.
+struct LogField
+{
+    using Value = std::variant<std::string_view, std::int64_t, double, bool>;
+
+    std::string_view name;
+    Value value;
+};
+
+enum class LogLevel {
+    Detail, ///< The ordinary course of a request; left out first under load.
+    Info,
+    Warning, ///< Something failed, or a request was refused.
+};
+
+/// Takes one line for each decision.
+class DecisionLog
+{
+public:
+    virtual ~DecisionLog() = default;
+
+    /// `event` names the decision, in kebab case. `request` is the caller's id of the request that
+    /// it touches, or empty.
+    virtual void write(LogLevel level, std::string_view event, std::string_view request,
+                       std::initializer_list<LogField> fields) = 0;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/ports/record_log.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/store/log_record.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace monsoonsail {
+
+/// The append-only log of the platform's store. Answers arrive on the caller's thread, later than
+/// the call. Errors are of storeCategory().
+class RecordLog
+{
+public:
+    using ReadDone = std::function<void(std::error_code, const LogRecords &)>;
+    /// Receives the offset of the first appended record. A conflict carries the end of the topic.
+    using AppendDone = std::function<void(std::error_code, LogOffset)>;
+
+    virtual ~RecordLog() = default;
+
+    /// Reads from `from`, waiting for a record until `waitUntil`. If records before the ones kept
+    /// are asked for, the error is Expired and `first` is set.
+    virtual void read(std::string_view topic, LogOffset from, Instant waitUntil, ReadDone done) = 0;
+    /// Reads the newest record of each key. Its `end` is where read() goes on.
+    virtual void readNewest(std::string_view topic, ReadDone done) = 0;
+    /// Appends one record; with `at` only if the topic ends there. In a topic with keys, `key`
+    /// must not be empty.
+    virtual void append(std::string_view topic, std::string_view key, std::string_view value,
+                        std::optional<LogOffset> at, AppendDone done) = 0;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/ports/traffic_listener.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "servers/serving/attempt_end.h"
+#include "servers/serving/request_arrival.h"
+#include "servers/serving/stream_progress.h"
+
+#include <span>
+
+namespace monsoonsail {
+
+/// Told of what happens on the connections to callers and endpoints.
+class TrafficListener
+{
+public:
+    virtual ~TrafficListener() = default;
+
+    virtual void arrived(const RequestArrival &request) = 0;
+    /// The caller has closed its connection before it had its whole answer.
+    virtual void callerGone(RequestNumber request) = 0;
+    virtual void progressed(std::span<const StreamProgress> streams) = 0;
+    virtual void ended(const AttemptEnd &end) = 0;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/ports/traffic_port.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "servers/serving/attempt_start.h"
+#include "servers/serving/refusal.h"
+#include "servers/site/connection_limits.h"
+
+namespace monsoonsail {
+
+/// The connections to callers and endpoints. Each request gets exactly one of refuse(), deliver(),
+/// breakOff() and finish() in the end.
+class TrafficPort
+{
+public:
+    virtual ~TrafficPort() = default;
+
+    virtual void start(const AttemptStart &attempt) = 0;
+    /// Ends an attempt without an AttemptEnd; its connection is closed.
+    virtual void cancel(RequestNumber request, AttemptNumber attempt) = 0;
+
+    virtual void refuse(const Refusal &refusal) = 0;
+    /// Passes on the whole answer of an attempt that ended as Answered.
+    virtual void deliver(RequestNumber request, AttemptNumber attempt) = 0;
+    /// Closes the caller's connection in the middle of a stream, so that it looks incomplete.
+    virtual void breakOff(RequestNumber request) = 0;
+    /// Drops what is left of a request whose stream was passed on whole or whose caller is gone.
+    virtual void finish(RequestNumber request) = 0;
+
+    /// Closes the kept connections to an endpoint.
+    virtual void forget(const EndpointId &endpoint) = 0;
+    virtual void apply(const ConnectionLimits &limits) = 0;
+    /// From now on callers are told to use other connections.
+    virtual void beginStop() = 0;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/serving/prompt_part.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace monsoonsail {
+
+/// One part of a prompt. Requests with the same parts in front share their KV cache.
+struct PromptPart
+{
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/serving/stream_progress.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+
+#include <cstdint>
+
+namespace monsoonsail {
+
+/// Events of a running stream that were passed on since the last report.
+struct StreamProgress
+{
+    RequestNumber request = 0;
+    AttemptNumber attempt = 0;
+    std::uint32_t events = 0;
+    EventId lastEvent = 0;
+    Instant lastEventAt;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/site/configuration_feed.cpp
@@ -0,0 +1,42 @@
+#include "servers/site/configuration_feed.h"
+
+#include <utility>
+
+namespace monsoonsail {
+
+void ConfigurationFeed::changed(const LogRecord &record, Instant /*now*/)
+{
+    if (record.key != m_codec.configurationKey())
+        return;
+    std::string fault;
+    auto configuration = m_codec.configuration(record.value, fault);
+    if (!configuration) {
+        m_context.log.write(LogLevel::Warning, "configuration-unreadable", {},
+                            {{"offset", static_cast<std::int64_t>(record.offset)},
+                             {"reason", fault}});
+        return;
+    }
+    offer(std::move(configuration), "store");
+}
+
+void ConfigurationFeed::current(Instant asOf, Instant /*now*/)
+{
+    m_context.configurationAsOf = asOf;
+}
+
+void ConfigurationFeed::offer(std::shared_ptr<const SiteConfiguration> configuration,
+                              std::string_view source)
+{
+    if (m_context.configuration && m_context.configuration->revision() >= configuration->revision())
+        return;
+    m_context.log.write(
+            LogLevel::Info, "configuration-in-force", {},
+            {{"revision", static_cast<std::int64_t>(configuration->revision())},
+             {"routes", static_cast<std::int64_t>(configuration->routes().size())},
+             {"accounts", static_cast<std::int64_t>(configuration->accounts().size())},
+             {"source", source}});
+    m_context.configuration = std::move(configuration);
+    m_context.traffic.apply(m_context.configuration->limits());
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/site/configuration_feed.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "servers/ports/site_codec.h"
+#include "servers/serving/serving_context.h"
+#include "servers/store/topic_follower.h"
+
+namespace monsoonsail {
+
+/// Puts published configurations in force as they appear in the store.
+class ConfigurationFeed : public TopicSink
+{
+public:
+    ConfigurationFeed(ServingContext &context, const SiteCodec &codec)
+        : m_context(context)
+        , m_codec(codec)
+    { }
+
+    void changed(const LogRecord &record, Instant now) override;
+    void dropped(const std::string & /*key*/, Instant /*now*/) override { }
+    void current(Instant asOf, Instant now) override;
+    void interrupted(std::error_code /*error*/, Instant /*now*/) override { }
+
+    /// Puts a configuration in force unless it is older than the one that is.
+    void offer(std::shared_ptr<const SiteConfiguration> configuration, std::string_view source);
+
+private:
+    ServingContext &m_context;
+    const SiteCodec &m_codec;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/store/topic_follower.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/ports/decision_log.h"
+#include "servers/ports/record_log.h"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace monsoonsail {
+
+/// Receives the contents of a topic with keys.
+class TopicSink
+{
+public:
+    virtual ~TopicSink() = default;
+
+    /// A key has a new value.
+    virtual void changed(const LogRecord &record, Instant now) = 0;
+    /// A key was dropped.
+    virtual void dropped(const std::string &key, Instant now) = 0;
+    /// Everything up to `asOf` has been told.
+    virtual void current(Instant asOf, Instant now) = 0;
+    /// The store could not be read.
+    virtual void interrupted(std::error_code error, Instant now) = 0;
+};
+
+/// Keeps a sink up to date with a topic: reads its newest records, then what follows, and starts
+/// over when records were dropped before they were read.
+class TopicFollower
+{
+public:
+    struct Pace
+    {
+        Duration wait{};     ///< How long a read waits for a record.
+        Duration interval{}; ///< From the start of one read to the start of the next, at least.
+    };
+    /// Returns the current instant and calls a task later.
+    struct Scheduler
+    {
+        std::function<Instant()> now;
+        std::function<void(Instant, std::function<void()>)> at;
+    };
+
+    /// All references must outlive the follower, and the follower its pending calls.
+    TopicFollower(std::string topic, Pace pace, RecordLog &log, TopicSink &sink,
+                  Scheduler scheduler, DecisionLog &decisions);
+
+    void start() { readNewest(); }
+
+private:
+    void readNewest();
+    void read();
+    void handleNewest(std::error_code error, const LogRecords &records);
+    void handleRead(std::error_code error, const LogRecords &records);
+    void retry(std::error_code error);
+    void succeeded();
+
+    const std::string m_topic;
+    const Pace m_pace;
+    RecordLog &m_log;
+    TopicSink &m_sink;
+    const Scheduler m_scheduler;
+    DecisionLog &m_decisions;
+    std::optional<LogOffset> m_next; ///< Nothing before the newest records have been read.
+    std::set<std::string> m_keys;    ///< Keys that have a value.
+    Instant m_startedAt;             ///< Start of the current read.
+    unsigned m_failures = 0;         ///< In a row.
+};
+
+} // namespace monsoonsail
