--- a/drivers/loop/event_loop.cpp
+++ b/drivers/loop/event_loop.cpp
@@ -1,10 +1,13 @@
 #include "drivers/loop/event_loop.h"
 
+#include <glog/logging.h>
+
 #include <sys/eventfd.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <stdexcept>
 #include <system_error>
 #include <utility>
 
@@ -97,7 +100,13 @@
 void EventLoop::remove(int descriptor)
 {
     m_watches[static_cast<std::size_t>(descriptor)].handler = nullptr;
-    m_poller.removeFd(descriptor);
+    try {
+        m_poller.removeFd(descriptor);
+    } catch (const std::runtime_error &error) {
+        // libcurl reports some sockets after it has closed them. A closed descriptor has left the
+        // poller by itself, so nothing is left to do.
+        DLOG(INFO) << "descriptor " << descriptor << " was not watched: " << error.what();
+    }
 }
 
 Pistache::Polling::Tag EventLoop::tagOf(int descriptor) const
--- /dev/null
+++ b/drivers/mesh/digest_codec.cpp
@@ -0,0 +1,100 @@
+#include "drivers/mesh/digest_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace monsoonsail {
+
+namespace {
+
+using nlohmann::json;
+
+/// Changes with every change of the layout; digests of another layout are dropped.
+constexpr int layoutVersion = 1;
+
+std::vector<std::string> names(const std::vector<EndpointId> &endpoints)
+{
+    std::vector<std::string> names;
+    names.reserve(endpoints.size());
+    for (const EndpointId &endpoint : endpoints)
+        names.push_back(endpoint.value());
+    return names;
+}
+
+} // namespace
+
+// Rows without member names keep a digest in few packets.
+std::string encodeDigest(const Digest &digest)
+{
+    json loads = json::array();
+    for (const Digest::EndpointLoad &load : digest.loads) {
+        loads.push_back({load.endpoint.value(), load.running, load.promptTokens, load.contextTokens,
+                         load.isSuspect});
+    }
+    json uses = json::array();
+    for (const Digest::AccountUse &use : digest.uses)
+        uses.push_back({use.account.value(), use.asked, use.admitted});
+    json counts = json::array();
+    for (const Digest::UsageCount &count : digest.counts)
+        counts.push_back({count.window, count.account.value(), count.requests});
+    const json document{layoutVersion,
+                        digest.instance,
+                        digest.incarnation,
+                        digest.address,
+                        digest.zone.value(),
+                        digest.sequence,
+                        toMicroseconds(digest.sentAt),
+                        digest.revision,
+                        digest.isStopping,
+                        digest.fencingNumber,
+                        loads,
+                        uses,
+                        counts,
+                        names(digest.leaving),
+                        digest.neighbours};
+    std::string bytes;
+    json::to_msgpack(document, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+std::optional<Digest> decodeDigest(std::string_view bytes)
+{
+    try {
+        const json document = json::from_msgpack(bytes.begin(), bytes.end());
+        if (document.at(0).get<int>() != layoutVersion)
+            return std::nullopt;
+        Digest digest{.instance = document.at(1).get<std::string>(),
+                      .incarnation = document.at(2).get<std::string>(),
+                      .address = document.at(3).get<std::string>(),
+                      .zone = ZoneId(document.at(4).get<std::string>()),
+                      .sequence = document.at(5).get<std::uint64_t>(),
+                      .sentAt = instantFromMicroseconds(document.at(6).get<std::int64_t>()),
+                      .revision = document.at(7).get<Revision>(),
+                      .isStopping = document.at(8).get<bool>(),
+                      .fencingNumber = document.at(9).get<std::uint64_t>()};
+        for (const json &load : document.at(10)) {
+            digest.loads.push_back({.endpoint = EndpointId(load.at(0).get<std::string>()),
+                                    .running = load.at(1).get<std::uint32_t>(),
+                                    .promptTokens = load.at(2).get<std::uint32_t>(),
+                                    .contextTokens = load.at(3).get<std::uint32_t>(),
+                                    .isSuspect = load.at(4).get<bool>()});
+        }
+        for (const json &use : document.at(11)) {
+            digest.uses.push_back({.account = AccountId(use.at(0).get<std::string>()),
+                                   .asked = use.at(1).get<double>(),
+                                   .admitted = use.at(2).get<double>()});
+        }
+        for (const json &count : document.at(12)) {
+            digest.counts.push_back({.window = count.at(0).get<std::uint64_t>(),
+                                     .account = AccountId(count.at(1).get<std::string>()),
+                                     .requests = count.at(2).get<std::uint32_t>()});
+        }
+        for (const json &endpoint : document.at(13))
+            digest.leaving.emplace_back(endpoint.get<std::string>());
+        digest.neighbours = document.at(14).get<std::vector<std::string>>();
+        return digest;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace monsoonsail
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -3,11 +3,14 @@
 #include "servers/configuration/table_reader.h"
 #include "servers/configuration/toml_document.h"
 
+#include <algorithm>
+
 namespace monsoonsail {
 
 namespace {
 
 constexpr double maxSeconds = 3600;
+constexpr double maxMs = 3'600'000;
 constexpr double maxRequests = 1e9;
 
 Duration seconds(double count)
@@ -15,6 +18,23 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
 }
 
+/// Returns the digest addresses of the instances whose "IP:port" addresses, separated by commas,
+/// are given. All instances receive digests on the same port.
+std::vector<std::string> peerAddresses(std::string_view seeds, std::string_view digestListen)
+{
+    std::vector<std::string> addresses;
+    const std::string_view port = digestListen.substr(std::min(digestListen.find(':'),
+                                                               digestListen.size()));
+    while (!seeds.empty()) {
+        const std::size_t end = std::min(seeds.find(','), seeds.size());
+        const std::string_view seed = seeds.substr(0, end);
+        if (!seed.empty())
+            addresses.push_back(std::string(seed.substr(0, seed.find(':'))) + std::string(port));
+        seeds.remove_prefix(std::min(end + 1, seeds.size()));
+    }
+    return addresses;
+}
+
 } // namespace
 
 ServingSettings readServingSettings(std::string_view text, const std::string &file,
@@ -31,12 +51,23 @@
     settings.metricsListen = reader.string("metrics_listen", "");
     settings.digestListen = reader.string("digest_listen");
     settings.storeAddress = reader.string("store");
+    settings.dutyAddress = reader.string("duties");
+    settings.peerAddresses = peerAddresses(reader.string("seeds", ""), settings.digestListen);
     settings.stopGrace = seconds(reader.number("stop_grace_s", 0, maxSeconds));
     reader.optionalTable("repeats", [&settings](TableReader &table) {
         settings.limits.repeats = {.ratio = table.number("ratio", 0, 1),
                                    .slack = table.number("slack", 0, maxRequests),
                                    .window = seconds(table.number("window_s", 0, maxSeconds))};
     });
+    reader.optionalTable("allowances", [&settings](TableReader &table) {
+        settings.limits.allowances = {.excess = table.number("excess", 0, 1),
+                                      .slack = table.number("slack", 0, maxRequests)};
+    });
+    reader.optionalTable("usage", [&settings](TableReader &table) {
+        settings.limits.usageWindow = seconds(table.number("window_s", 0.1, maxSeconds));
+        settings.limits.usageDue = seconds(table.number("due_s", 0, maxSeconds));
+    });
+    settings.limits.dutyLease = seconds(reader.number("duty_lease_ms", 0, maxMs, 3000) / 1000);
     reader.finish();
     return settings;
 }
--- a/drivers/settings/serving_settings.h
+++ b/drivers/settings/serving_settings.h
@@ -22,6 +22,8 @@
     std::string metricsListen; ///< "IP:port" for metrics; empty for none.
     std::string digestListen;  ///< "IP:port" for the digests of other entry instances.
     std::string storeAddress;  ///< "IP:port" of the platform's store.
+    std::string dutyAddress;   ///< "IP:port" of the platform's API for duties.
+    std::vector<std::string> peerAddresses; ///< Digest addresses of some entry instances.
     ServingLimits limits;
     Duration stopGrace{}; ///< From SIGTERM to SIGKILL.
 };
--- a/drivers/time/system_clock.h
+++ b/drivers/time/system_clock.h
@@ -6,7 +6,8 @@
 
 namespace monsoonsail {
 
-/// Starts at the wall clock and then follows the monotonic clock, so that it never goes back.
+/// Starts at the time of day and then follows the clock since the boot of the machine, so that it
+/// never goes back, does not follow steps of the time of day, and counts a suspension.
 class SystemClock : public Clock
 {
 public:
@@ -15,8 +16,8 @@
     Instant now() const override;
 
 private:
-    std::chrono::steady_clock::time_point m_steadyStart;
-    Instant m_start;
+    const Duration m_bootTimeAtStart;
+    const Instant m_start;
 };
 
 } // namespace monsoonsail
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -1,11 +1,8 @@
 #include "main/monsoonsaild/control_plane.h"
 
-#include "core/hash.h"
-#include "servers/placement/least_load_placer.h"
-
 #include <algorithm>
-#include <memory>
 #include <string>
+#include <utility>
 
 namespace monsoonsail {
 
@@ -25,8 +22,16 @@
 constexpr TopicFollower::Pace endpointPace{.wait = std::chrono::milliseconds(1000),
                                            .interval = std::chrono::milliseconds(500)};
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
+/// The others know of a request's load and charge within this time. Each digest costs every
+/// instance a wakeup.
+constexpr Duration digestInterval = std::chrono::milliseconds(250);
+/// Endpoints that began to leave this recently are named in digests.
+constexpr Duration leavingMemory = std::chrono::seconds(10);
+/// Counts of a window are summed up when those of the other instances should be stored.
+constexpr Duration usageSettle = std::chrono::milliseconds(1000);
 
-/// The balancer takes a daemon out after two missed checks, one a second.
+/// The balancer takes a daemon out after two missed checks, one a second. Requests that come later
+/// on kept connections are refused, so that those that run can end before the process is killed.
 constexpr Duration balancerNotices = std::chrono::milliseconds(2500);
 /// Time before the platform kills the process that is kept to end in order.
 constexpr Duration stopReserve = std::chrono::milliseconds(300);
@@ -36,14 +41,11 @@
 ControlPlane::ControlPlane(const ServingSettings &settings, EventLoop &loop, TrafficPort &traffic,
                            LogWriter &logs, const std::string &incarnation)
     : m_settings(settings)
+    , m_incarnation(incarnation)
     , m_loop(loop)
     , m_logs(logs)
     , m_log(logs, loop.clock(), settings.instance, incarnation)
-    , m_context{.limits = settings.limits,
-                .traffic = traffic,
-                .log = m_log,
-                .placer = std::make_unique<LeastLoadPlacer>(),
-                .random = RandomSource(stableHash(incarnation))}
+    , m_context(settings.limits, ZoneId(settings.zone), incarnation, traffic, m_log)
     , m_core(m_context)
     , m_http(loop)
     , m_store(m_http, loop.clock(), settings.storeAddress)
@@ -53,12 +55,23 @@
                               m_configurationFeed, scheduler(), m_log)
     , m_endpointFollower(std::string(m_codec.endpointTopic()), endpointPace, m_store,
                          m_endpointFeed, scheduler(), m_log)
+    , m_mesh(settings.instance, settings.digestListen)
+    , m_digests(loop, settings.digestListen, [this](const Digest &digest) { digestReceived(digest); })
+    , m_presence(settings.instance, settings.digestListen, m_store, m_mesh,
+                 [this] { return m_loop.now(); })
+    , m_duties(m_http, loop.clock(), settings.dutyAddress, settings.instance)
+    , m_keeper({.instance = settings.instance, .incarnation = incarnation},
+               settings.limits.dutyLease, m_store, [this] { return m_loop.now(); }, m_log)
+    , m_usage(incarnation, {.settle = usageSettle, .due = settings.limits.usageDue}, m_context.meter,
+              m_store, m_duties, [this] { return m_loop.now(); }, [this] { m_keeper.fenced(); },
+              m_log)
 { }
 
 ControlPlane::~ControlPlane()
 {
     m_loop.timers().cancel(m_timer);
     m_loop.timers().cancel(m_tickTimer);
+    m_loop.timers().cancel(m_digestTimer);
 }
 
 TopicFollower::Scheduler ControlPlane::scheduler()
@@ -80,7 +93,10 @@
                           });
     m_configurationFollower.start();
     m_endpointFollower.start();
+    for (const std::string &address : m_settings.peerAddresses)
+        m_mesh.learn(address, m_loop.now());
     tick();
+    sendDigest();
 }
 
 void ControlPlane::requestStop()
@@ -92,6 +108,22 @@
     m_log.write(LogLevel::Info, "stopping", {},
                 {{"requests", static_cast<std::int64_t>(m_core.requestCount())}});
     m_context.traffic.beginStop();
+    m_keeper.release();
+}
+
+void ControlPlane::apply(const ServingSettings &settings)
+{
+    m_settings = settings;
+    m_context.limits = settings.limits;
+    m_context.repeats.setLimit(settings.limits.repeats);
+    m_context.allowances.setTolerance(settings.limits.allowances);
+    if (m_context.configuration)
+        m_context.allowances.configure(m_context.configuration->accounts(), m_loop.now());
+    m_store.setAddress(settings.storeAddress);
+    m_duties.setAddress(settings.dutyAddress);
+    for (const std::string &address : settings.peerAddresses)
+        m_mesh.learn(address, m_loop.now());
+    m_log.write(LogLevel::Info, "settings-applied", {}, {{"store", settings.storeAddress}});
 }
 
 void ControlPlane::arrived(const RequestArrival &request)
@@ -151,11 +183,61 @@
 void ControlPlane::tick()
 {
     m_tickTimer = m_loop.timers().schedule(m_loop.now() + tickInterval, [this] { tick(); });
+    const Instant now = m_loop.now();
+    m_core.moveFromSilent(now);
+    m_mesh.expire(now);
+    m_context.repeats.setInstances(m_mesh.instanceCount());
+    m_context.allowances.reserve(m_mesh, now);
+    m_context.meter.setClockCorrection(m_mesh.clockCorrection());
+    m_presence.advance();
+    m_keeper.advance(m_mesh);
+    m_usage.advance(m_keeper.fencingNumber());
     m_log.reportDropped();
     m_logs.flush();
     checkStop();
 }
 
+void ControlPlane::sendDigest()
+{
+    const Instant now = m_loop.now();
+    m_digestTimer = m_loop.timers().schedule(now + digestInterval, [this] { sendDigest(); });
+    Digest digest{.instance = m_settings.instance,
+                  .incarnation = m_incarnation,
+                  .address = m_settings.digestListen,
+                  .zone = m_context.zone,
+                  .sequence = ++m_digestsSent,
+                  .sentAt = now,
+                  .revision = m_context.configuration ? m_context.configuration->revision() : 0,
+                  .isStopping = m_stopping,
+                  .fencingNumber = m_keeper.fencingNumber(),
+                  .loads = m_context.enginePlacer->loads(now),
+                  .uses = m_context.allowances.uses(),
+                  .counts = m_context.meter.recent(),
+                  .leaving = m_context.endpoints.leavingSince(now - leavingMemory),
+                  .neighbours = m_mesh.liveAddresses(now)};
+    for (Digest::EndpointLoad &load : m_context.servicePlacer->loads(now))
+        digest.loads.push_back(std::move(load));
+    m_digests.send(digest, m_mesh.targets(now));
+}
+
+void ControlPlane::digestReceived(const Digest &digest)
+{
+    const Instant now = m_loop.now();
+    const Peer *peer = m_mesh.received(digest, now);
+    if (peer == nullptr)
+        return;
+    m_context.allowances.peerReported(*peer, now);
+    m_context.meter.peerReported(*peer);
+    m_context.enginePlacer->peerReported(*peer, now);
+    m_context.servicePlacer->peerReported(*peer, now);
+    for (const EndpointId &endpoint : digest.leaving)
+        m_context.endpoints.leaving(endpoint, now);
+    for (const Digest::EndpointLoad &load : digest.loads) {
+        if (load.isSuspect)
+            m_context.watch.suspectedByPeer(load.endpoint, now);
+    }
+}
+
 void ControlPlane::checkStop()
 {
     if (!m_stopping)
@@ -163,10 +245,12 @@
     const Instant now = m_loop.now();
     const bool noticed = now >= m_stopRequestedAt + balancerNotices;
     const bool outOfTime = now >= m_stopRequestedAt + m_settings.stopGrace - stopReserve;
-    if (outOfTime)
+    if (noticed)
         m_context.refusesNew = true;
     if (!outOfTime && (!noticed || !m_core.isIdle()))
         return;
+    m_usage.flush();
+    sendDigest();
     m_log.write(LogLevel::Info, "stopped", {},
                 {{"requests", static_cast<std::int64_t>(m_core.requestCount())}});
     m_logs.flush();
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -3,11 +3,17 @@
 #include "drivers/http/curl_client.h"
 #include "drivers/logging/json_decision_log.h"
 #include "drivers/loop/event_loop.h"
+#include "drivers/mesh/digest_socket.h"
 #include "drivers/settings/serving_settings.h"
 #include "drivers/traffic/local_server.h"
+#include "platform/duty_client.h"
 #include "platform/store_client.h"
 #include "platform/store_site_codec.h"
+#include "servers/duties/duty_keeper.h"
+#include "servers/duties/usage_reporter.h"
 #include "servers/endpoints/endpoint_feed.h"
+#include "servers/mesh/mesh.h"
+#include "servers/mesh/presence.h"
 #include "servers/ports/traffic_listener.h"
 #include "servers/serving/serving_core.h"
 #include "servers/site/configuration_feed.h"
@@ -33,6 +39,8 @@
     void start();
     /// Begins a planned stop; the loop ends when it is over. Repeating it changes nothing.
     void requestStop();
+    /// Takes over changed settings. Addresses to listen on stay as they are.
+    void apply(const ServingSettings &settings);
 
     void arrived(const RequestArrival &request) override;
     void callerGone(RequestNumber request) override;
@@ -46,9 +54,12 @@
     void armTimer();
     void expire();
     void tick();
+    void sendDigest();
+    void digestReceived(const Digest &digest);
     void checkStop();
 
-    const ServingSettings m_settings;
+    ServingSettings m_settings;
+    const std::string m_incarnation;
     EventLoop &m_loop;
     LogWriter &m_logs;
     JsonDecisionLog m_log;
@@ -61,9 +72,17 @@
     EndpointFeed m_endpointFeed;
     TopicFollower m_configurationFollower;
     TopicFollower m_endpointFollower;
+    Mesh m_mesh;
+    DigestSocket m_digests;
+    Presence m_presence;
+    platform::DutyClient m_duties;
+    DutyKeeper m_keeper;
+    UsageReporter m_usage;
     std::optional<LocalServer> m_readyServer;
     TimerQueue::Handle m_timer;
     TimerQueue::Handle m_tickTimer;
+    TimerQueue::Handle m_digestTimer;
+    std::uint64_t m_digestsSent = 0;
     bool m_stopping = false;
     Instant m_stopRequestedAt;
 };
--- a/main/monsoonsaild/main.cpp
+++ b/main/monsoonsaild/main.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <exception>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <optional>
 #include <sstream>
@@ -38,17 +39,19 @@
     return text.str();
 }
 
-std::optional<ServingSettings> loadSettings(const std::string &path)
+/// Reports each fault to `report`.
+std::optional<ServingSettings> loadSettings(const std::string &path,
+                                            const std::function<void(const std::string &)> &report)
 {
     const auto text = readFile(path);
     if (!text) {
-        std::cerr << "cannot read the settings file \"" << path << "\"\n";
+        report("cannot read the settings file \"" + path + "\"");
         return std::nullopt;
     }
     std::vector<ConfigurationFault> faults;
     ServingSettings settings = readServingSettings(*text, path, faults);
     for (const ConfigurationFault &fault : faults)
-        std::cerr << describe(fault) << "\n";
+        report(describe(fault));
     if (!faults.empty())
         return std::nullopt;
     return settings;
@@ -68,7 +71,8 @@
 {
     absl::SetProgramUsageMessage("Entry daemon of monsoonsail.\nmonsoonsaild --settings=FILE");
     absl::ParseCommandLine(argc, argv);
-    const auto settings = loadSettings(absl::GetFlag(FLAGS_settings));
+    const std::string path = absl::GetFlag(FLAGS_settings);
+    const auto settings = loadSettings(path, [](const std::string &fault) { std::cerr << fault << "\n"; });
     if (!settings)
         return exitUsage;
     if (absl::GetFlag(FLAGS_check))
@@ -76,7 +80,11 @@
     LogWriter logs(STDOUT_FILENO);
     const JsonLogSink sink(argv[0], settings->instance, logs);
     try {
-        ServingDaemon daemon(*settings, newIncarnation(settings->instance), logs);
+        ServingDaemon daemon(*settings, newIncarnation(settings->instance), logs, [path] {
+            return loadSettings(path, [](const std::string &fault) {
+                LOG(ERROR) << "settings not reloaded: " << fault;
+            });
+        });
         daemon.run();
     } catch (const std::exception &error) {
         LOG(ERROR) << "cannot start: " << error.what();
--- a/main/monsoonsaild/serving_daemon.cpp
+++ b/main/monsoonsaild/serving_daemon.cpp
@@ -1,18 +1,22 @@
 #include "main/monsoonsaild/serving_daemon.h"
 
 #include <csignal>
+#include <utility>
 
 namespace monsoonsail {
 
 ServingDaemon::ServingDaemon(const ServingSettings &settings, const std::string &incarnation,
-                             LogWriter &logs)
-    : m_controlLoop(m_clock)
+                             LogWriter &logs,
+                             std::function<std::optional<ServingSettings>()> reload)
+    : m_reload(std::move(reload))
+    , m_controlLoop(m_clock)
     , m_trafficLoop(m_clock)
     , m_toTraffic(m_trafficLoop, m_traffic)
     , m_control(settings, m_controlLoop, m_toTraffic, logs, incarnation)
     , m_toControl(m_controlLoop, m_control)
     , m_traffic(m_trafficLoop, m_codec, m_toControl)
-    , m_signals(m_controlLoop, {SIGTERM, SIGINT}, [this](int) { m_control.requestStop(); })
+    , m_signals(m_controlLoop, {SIGTERM, SIGINT, SIGHUP},
+                [this](int signal) { handleSignal(signal); })
 {
     m_traffic.listen(settings.callerListen);
 }
@@ -22,6 +26,16 @@
     m_trafficLoop.stop();
 }
 
+void ServingDaemon::handleSignal(int signal)
+{
+    if (signal != SIGHUP) {
+        m_control.requestStop();
+        return;
+    }
+    if (const auto settings = m_reload())
+        m_control.apply(*settings);
+}
+
 void ServingDaemon::run()
 {
     m_control.start();
--- a/main/monsoonsaild/serving_daemon.h
+++ b/main/monsoonsaild/serving_daemon.h
@@ -10,6 +10,8 @@
 #include "main/monsoonsaild/control_plane.h"
 #include "platform/http_codec.h"
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -20,7 +22,9 @@
 {
 public:
     /// Throws std::system_error if an address can't be bound. `logs` must outlive the daemon.
-    ServingDaemon(const ServingSettings &settings, const std::string &incarnation, LogWriter &logs);
+    /// `reload` reads the settings again, or returns nothing if they are faulty.
+    ServingDaemon(const ServingSettings &settings, const std::string &incarnation, LogWriter &logs,
+                  std::function<std::optional<ServingSettings>()> reload);
     ~ServingDaemon();
     ServingDaemon(const ServingDaemon &) = delete;
     ServingDaemon &operator=(const ServingDaemon &) = delete;
@@ -28,6 +32,9 @@
     /// Serves until a planned stop is over. The calling thread becomes the control thread.
     void run();
 private:
+    void handleSignal(int signal);
+
+    const std::function<std::optional<ServingSettings>()> m_reload;
     SystemClock m_clock;
     EventLoop m_controlLoop;
     EventLoop m_trafficLoop;
--- /dev/null
+++ b/servers/duties/usage_reporter.cpp
@@ -0,0 +1,214 @@
+#include "servers/duties/usage_reporter.h"
+
+#include "core/store_error.h"
+#include "servers/duties/usage_records.h"
+
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr std::string_view countsTopic = "usage-counts";
+constexpr std::string_view fixedTopic = "usage-fixed";
+/// After a call that failed. Calls are paid for, and a report has seconds of time.
+constexpr Duration retryPause = std::chrono::milliseconds(700);
+/// Windows that are remembered; more than can still be reported.
+constexpr WindowNumber rememberedWindows = 8;
+
+} // namespace
+
+UsageReporter::UsageReporter(std::string incarnation, Pace pace, UsageMeter &meter, RecordLog &log,
+                             DutyPort &duties, std::function<Instant()> now,
+                             std::function<void()> onFenced, DecisionLog &decisions)
+    : m_incarnation(std::move(incarnation))
+    , m_pace(pace)
+    , m_meter(meter)
+    , m_log(log)
+    , m_duties(duties)
+    , m_now(std::move(now))
+    , m_onFenced(std::move(onFenced))
+    , m_decisions(decisions)
+    , m_firstWindow(meter.windowAt(m_now()))
+    , m_lastStored(m_firstWindow - 1)
+{ }
+
+void UsageReporter::advance(std::uint64_t fencingNumber)
+{
+    const Instant now = m_now();
+    const WindowNumber current = m_meter.windowAt(now);
+    // Counts are stored by every instance, whoever reports them.
+    while (m_lastStored + 1 < current)
+        storeOwnCounts(++m_lastStored);
+    if (std::exchange(m_fencingNumber, fencingNumber) != fencingNumber) {
+        // An earlier holder may have fixed windows that it did not report any more.
+        m_fixedKnown = false;
+        m_reported.clear();
+    }
+    if (m_fencingNumber == 0 || m_step != Step::Idle || now < m_nextAt)
+        return;
+    if (current > rememberedWindows) {
+        m_meter.forgetBefore(current - rememberedWindows);
+        m_fixed.erase(m_fixed.begin(), m_fixed.lower_bound(current - rememberedWindows));
+        m_reported.erase(m_reported.begin(), m_reported.lower_bound(current - rememberedWindows));
+    }
+    const auto window = nextWindow();
+    if (!window)
+        return;
+    m_window = *window;
+    if (!m_fixedKnown)
+        readFixed();
+    else if (const auto fixed = m_fixed.find(m_window); fixed != m_fixed.end())
+        report(m_window, fixed->second);
+    else
+        readCounts();
+}
+
+std::optional<WindowNumber> UsageReporter::nextWindow() const
+{
+    const Instant now = m_now();
+    const WindowNumber current = m_meter.windowAt(now);
+    for (WindowNumber window = current > rememberedWindows ? current - rememberedWindows : 0;
+         window < current; ++window) {
+        const Instant end = m_meter.windowEnd(window);
+        if (now < end + m_pace.settle || now >= end + m_pace.due || m_reported.contains(window))
+            continue;
+        return window;
+    }
+    return std::nullopt;
+}
+
+void UsageReporter::flush()
+{
+    storeOwnCounts(m_meter.windowAt(m_now()));
+}
+
+void UsageReporter::storeOwnCounts(WindowNumber window)
+{
+    UsageCounts counts = m_meter.own(window);
+    if (counts.empty())
+        return;
+    const std::string record = encodeUsage(
+            {.window = window, .incarnation = m_incarnation, .counts = std::move(counts)});
+    m_log.append(countsTopic, {}, record, std::nullopt,
+                 [this, window](std::error_code error, LogOffset /*offset*/) {
+                     // The digests have told the holder nearly the same.
+                     if (error) {
+                         m_decisions.write(LogLevel::Warning, "usage-counts-not-stored", {},
+                                           {{"window", static_cast<std::int64_t>(window)},
+                                            {"error", error.message()}});
+                     }
+                 });
+}
+
+void UsageReporter::readFixed()
+{
+    m_step = Step::ReadingFixed;
+    m_log.read(fixedTopic, m_fixedOffset, m_now(),
+               [this](std::error_code error, const LogRecords &records) {
+                   handleFixedRead(error, records);
+               });
+}
+
+void UsageReporter::handleFixedRead(std::error_code error, const LogRecords &records)
+{
+    m_step = Step::Idle;
+    if (error == StoreError::Expired) {
+        m_fixedOffset = records.first;
+        return;
+    }
+    if (error) {
+        pause();
+        return;
+    }
+    for (const LogRecord &record : records.records) {
+        // The first record of a window counts.
+        if (const auto usage = decodeUsage(record.value))
+            m_fixed.emplace(usage->window, usage->counts);
+    }
+    m_fixedOffset = records.end;
+    m_fixedKnown = true;
+}
+
+void UsageReporter::readCounts()
+{
+    m_step = Step::ReadingCounts;
+    m_log.read(countsTopic, m_countsOffset, m_now(),
+               [this](std::error_code error, const LogRecords &records) {
+                   handleCountsRead(error, records);
+               });
+}
+
+void UsageReporter::handleCountsRead(std::error_code error, const LogRecords &records)
+{
+    m_step = Step::Idle;
+    if (error == StoreError::Expired) {
+        m_countsOffset = records.first;
+        return;
+    }
+    if (error) {
+        pause();
+        return;
+    }
+    for (const LogRecord &record : records.records) {
+        if (const auto usage = decodeUsage(record.value))
+            m_meter.report(usage->incarnation, usage->window, usage->counts);
+    }
+    m_countsOffset = records.end;
+    fix();
+}
+
+void UsageReporter::fix()
+{
+    m_step = Step::Fixing;
+    const std::string record =
+            encodeUsage({.window = m_window, .counts = m_meter.total(m_window)});
+    m_log.append(fixedTopic, {}, record, m_fixedOffset,
+                 [this](std::error_code error, LogOffset offset) { handleFixed(error, offset); });
+}
+
+void UsageReporter::handleFixed(std::error_code error, LogOffset offset)
+{
+    m_step = Step::Idle;
+    if (error) {
+        // Another holder was faster, or the record may have been stored: the next read tells.
+        m_fixedKnown = false;
+        if (error != StoreError::Conflict)
+            pause();
+        return;
+    }
+    m_fixedOffset = offset + 1;
+    report(m_window, m_fixed.emplace(m_window, m_meter.total(m_window)).first->second);
+}
+
+void UsageReporter::report(WindowNumber window, const UsageCounts &counts)
+{
+    if (m_fencingNumber == 0)
+        return;
+    m_step = Step::Reporting;
+    m_duties.reportUsage(m_fencingNumber, window, counts, [this, window](DutyOutcome outcome) {
+        handleReported(window, outcome);
+    });
+}
+
+void UsageReporter::handleReported(WindowNumber window, DutyOutcome outcome)
+{
+    m_step = Step::Idle;
+    m_decisions.write(LogLevel::Info, "usage-reported", {},
+                      {{"window", static_cast<std::int64_t>(window)},
+                       {"fencing_number", static_cast<std::int64_t>(m_fencingNumber)},
+                       {"done", outcome == DutyOutcome::Done}});
+    if (outcome == DutyOutcome::Done)
+        m_reported[window] = true;
+    else if (outcome == DutyOutcome::Fenced)
+        m_onFenced();
+    else
+        pause();
+}
+
+void UsageReporter::pause()
+{
+    m_nextAt = m_now() + retryPause;
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/duties/usage_reporter.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/metering/usage_meter.h"
+#include "servers/ports/decision_log.h"
+#include "servers/ports/duty_port.h"
+#include "servers/ports/record_log.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace monsoonsail {
+
+/// Reports the usage of each metering window to the platform, as long as this instance holds the
+/// duties.
+///
+/// The counts of a window are fixed in the store before they are reported, so that a successor
+/// reports the same ones.
+class UsageReporter
+{
+public:
+    struct Pace
+    {
+        Duration settle{}; ///< From the end of a window until its counts are summed up.
+        Duration due{};    ///< From the end of a window until its report is worth nothing.
+    };
+
+    /// `incarnation` is that of this process. References must outlive the reporter.
+    UsageReporter(std::string incarnation, Pace pace, UsageMeter &meter, RecordLog &log,
+                  DutyPort &duties, std::function<Instant()> now, std::function<void()> onFenced,
+                  DecisionLog &decisions);
+
+    /// Called often. `fencingNumber` is 0 while another instance holds the duties.
+    void advance(std::uint64_t fencingNumber);
+    /// Stores the counts of the current window now, before the process ends.
+    void flush();
+
+private:
+    enum class Step {
+        Idle,
+        ReadingFixed,  ///< Which windows have been fixed, also by earlier holders?
+        ReadingCounts, ///< What have the other instances counted?
+        Fixing,
+        Reporting,
+    };
+
+    void storeOwnCounts(WindowNumber window);
+    void readFixed();
+    void readCounts();
+    void fix();
+    void report(WindowNumber window, const UsageCounts &counts);
+    void handleFixedRead(std::error_code error, const LogRecords &records);
+    void handleCountsRead(std::error_code error, const LogRecords &records);
+    void handleFixed(std::error_code error, LogOffset offset);
+    void handleReported(WindowNumber window, DutyOutcome outcome);
+    std::optional<WindowNumber> nextWindow() const;
+    void pause();
+
+    const std::string m_incarnation;
+    const Pace m_pace;
+    UsageMeter &m_meter;
+    RecordLog &m_log;
+    DutyPort &m_duties;
+    const std::function<Instant()> m_now;
+    const std::function<void()> m_onFenced;
+    DecisionLog &m_decisions;
+
+    std::uint64_t m_fencingNumber = 0;
+    Step m_step = Step::Idle;
+    Instant m_nextAt;
+    WindowNumber m_firstWindow;       ///< Windows before it are not ours to report.
+    WindowNumber m_lastStored;        ///< Newest window whose own counts were stored.
+    LogOffset m_countsOffset = 0;     ///< Next record of counts to read.
+    LogOffset m_fixedOffset = 0;      ///< Next record of fixed windows to read.
+    bool m_fixedKnown = false;        ///< Whether all fixed windows have been read.
+    std::map<WindowNumber, UsageCounts> m_fixed;
+    std::map<WindowNumber, bool> m_reported;
+    WindowNumber m_window = 0; ///< Window that is being worked on.
+};
+
+} // namespace monsoonsail
--- a/servers/endpoints/endpoint.h
+++ b/servers/endpoints/endpoint.h
@@ -20,6 +20,14 @@
     EndpointListing listing;
     EndpointState state = EndpointState::Ready;
     Instant stateSince;
+    /// An unlisted endpoint may be used until then, since its entry may only have lapsed.
+    Instant usableUntil = Instant::min();
+
+    bool isUsable(Instant now) const
+    {
+        return state == EndpointState::Ready
+                || (state == EndpointState::Unlisted && usableUntil > now);
+    }
 };
 
 } // namespace monsoonsail
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -1,9 +1,15 @@
 #include "servers/endpoints/endpoint_feed.h"
 
+#include <utility>
+
 namespace monsoonsail {
 
 namespace {
 
+/// Entries that have lapsed are back within about 2 s of the store's return. A request must not
+/// reach an endpoint that has left later than 2 s after that.
+constexpr Duration lapseTime = std::chrono::milliseconds(1800);
+
 std::string_view stateName(EndpointState state)
 {
     switch (state) {
@@ -40,18 +46,27 @@
 
 void EndpointFeed::dropped(const std::string &key, Instant now)
 {
-    m_context.endpoints.unlisted(key, now);
+    // Entries can lapse while the store is away, although their endpoints live.
+    const Instant lapseEnd = m_isInterrupted ? now + lapseTime : m_lapseEnd;
+    m_context.endpoints.unlisted(key, lapseEnd, now);
 }
 
 void EndpointFeed::current(Instant /*asOf*/, Instant now)
 {
+    if (std::exchange(m_isInterrupted, false))
+        m_lapseEnd = now + lapseTime;
     for (const EndpointId &endpoint : m_context.endpoints.forget(now)) {
-        m_context.placer->removed(endpoint);
+        m_context.enginePlacer->removed(endpoint);
+        m_context.servicePlacer->removed(endpoint);
+        m_context.watch.removed(endpoint);
         m_context.traffic.forget(endpoint);
     }
 }
 
-void EndpointFeed::interrupted(std::error_code /*error*/, Instant /*now*/) { }
+void EndpointFeed::interrupted(std::error_code /*error*/, Instant /*now*/)
+{
+    m_isInterrupted = true;
+}
 
 void EndpointFeed::stateChanged(const Endpoint &endpoint)
 {
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -22,6 +22,8 @@
 
     ServingContext &m_context;
     const SiteCodec &m_codec;
+    bool m_isInterrupted = false;
+    Instant m_lapseEnd = Instant::min(); ///< Until then entries may be missing by a lapse only.
 };
 
 } // namespace monsoonsail
--- a/servers/endpoints/endpoint_registry.cpp
+++ b/servers/endpoints/endpoint_registry.cpp
@@ -1,7 +1,5 @@
 #include "servers/endpoints/endpoint_registry.h"
 
-#include <algorithm>
-
 namespace monsoonsail {
 
 namespace {
@@ -41,22 +39,16 @@
         change(endpoint, state, now);
 }
 
-void EndpointRegistry::unlisted(const std::string &instance, Instant now)
+void EndpointRegistry::unlisted(const std::string &instance, Instant usableUntil, Instant now)
 {
     const auto current = m_current.find(instance);
     if (current == m_current.end())
         return;
     Endpoint &endpoint = m_endpoints.at(current->second);
-    if (endpoint.state == EndpointState::Ready)
-        change(endpoint, EndpointState::Unlisted, now);
-}
-
-void EndpointRegistry::unlistOthers(const std::vector<std::string> &instances, Instant now)
-{
-    for (const auto &[instance, endpoint] : m_current) {
-        if (std::ranges::find(instances, instance) == instances.end())
-            unlisted(instance, now);
-    }
+    if (endpoint.state != EndpointState::Ready)
+        return;
+    endpoint.usableUntil = usableUntil;
+    change(endpoint, EndpointState::Unlisted, now);
 }
 
 void EndpointRegistry::leaving(const EndpointId &endpoint, Instant now)
@@ -72,6 +64,16 @@
     return entry == m_endpoints.end() ? nullptr : &entry->second;
 }
 
+std::vector<EndpointId> EndpointRegistry::leavingSince(Instant since) const
+{
+    std::vector<EndpointId> leaving;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.state == EndpointState::Leaving && endpoint.stateSince >= since)
+            leaving.push_back(id);
+    }
+    return leaving;
+}
+
 std::vector<EndpointId> EndpointRegistry::forget(Instant now)
 {
     std::vector<EndpointId> forgotten;
--- a/servers/endpoints/endpoint_registry.h
+++ b/servers/endpoints/endpoint_registry.h
@@ -23,10 +23,8 @@
     /// Takes over an entry of the list. Entries of an earlier incarnation, or older than what is
     /// known, change nothing.
     void listed(const EndpointListing &listing, Instant now);
-    /// The instance has no entry any more.
-    void unlisted(const std::string &instance, Instant now);
-    /// Marks every instance that is not in `instances` as unlisted.
-    void unlistOthers(const std::vector<std::string> &instances, Instant now);
+    /// The instance has no entry any more. Its endpoint stays usable until `usableUntil`.
+    void unlisted(const std::string &instance, Instant usableUntil, Instant now);
     /// The endpoint itself, or another entry instance, says that it leaves.
     void leaving(const EndpointId &endpoint, Instant now);
 
@@ -34,6 +32,8 @@
     const Endpoint *find(const EndpointId &endpoint) const;
     /// Returns all endpoints that are known, in order of id.
     const std::map<EndpointId, Endpoint> &all() const { return m_endpoints; }
+    /// Returns the endpoints that were found to be leaving at `since` or later.
+    std::vector<EndpointId> leavingSince(Instant since) const;
     /// Drops endpoints that have long been unlisted and returns them.
     std::vector<EndpointId> forget(Instant now);
 
--- /dev/null
+++ b/servers/endpoints/endpoint_watch.cpp
@@ -0,0 +1,148 @@
+#include "servers/endpoints/endpoint_watch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonsail {
+
+namespace {
+
+/// Time constant with which earlier attempts are forgotten.
+constexpr double memorySeconds = 4.0;
+/// Weight of the newest attempt in the usual time.
+constexpr double usualTimeWeight = 0.15;
+/// A stream's events come six steps apart, and a step with a chunk of a prompt takes about 70 ms,
+/// so a single stream may pause for half of a second. Several streams take turns.
+constexpr Duration silenceBase = std::chrono::milliseconds(300);
+constexpr Duration silenceOfOne = std::chrono::milliseconds(500);
+/// A silent endpoint is tried again after this time.
+constexpr Duration suspicion = std::chrono::milliseconds(2000);
+constexpr Duration refusalSuspicion = std::chrono::milliseconds(500);
+/// Peers repeat their suspicions with every digest.
+constexpr Duration peerSuspicion = std::chrono::milliseconds(700);
+
+double toMs(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+
+void EndpointWatch::started(AttemptNumber attempt, const EndpointId &endpoint, bool isStream,
+                            Instant now)
+{
+    m_attempts[attempt] = {.endpoint = endpoint, .startedAt = now, .isStream = isStream};
+    m_endpoints.try_emplace(endpoint, Health{.lastSign = now, .decayedAt = now});
+}
+
+void EndpointWatch::progressed(AttemptNumber attempt, Instant at)
+{
+    const auto entry = m_attempts.find(attempt);
+    if (entry == m_attempts.end())
+        return;
+    Health &health = m_endpoints[entry->second.endpoint];
+    if (!entry->second.hasEvents) {
+        entry->second.hasEvents = true;
+        ++health.streaming;
+    }
+    health.lastSign = std::max(health.lastSign, at);
+    health.suspectUntil = std::min(health.suspectUntil, at);
+}
+
+void EndpointWatch::ended(AttemptNumber number, EndpointVerdict verdict, Instant now)
+{
+    const auto entry = m_attempts.find(number);
+    if (entry == m_attempts.end())
+        return;
+    const Attempt attempt = entry->second;
+    m_attempts.erase(entry);
+    Health &health = m_endpoints[attempt.endpoint];
+    if (attempt.hasEvents && health.streaming > 0)
+        --health.streaming;
+    decay(health, now);
+    switch (verdict) {
+    case EndpointVerdict::Good: {
+        health.good += 1;
+        health.lastSign = now;
+        const double took = toMs(now - attempt.startedAt);
+        health.usualMs = health.usualMs == 0
+                ? took
+                : health.usualMs + usualTimeWeight * (took - health.usualMs);
+        break;
+    }
+    case EndpointVerdict::Failed:
+        health.bad += 1;
+        break;
+    case EndpointVerdict::Refused:
+        health.bad += 1;
+        health.suspectUntil = std::max(health.suspectUntil, now + refusalSuspicion);
+        break;
+    case EndpointVerdict::Unrelated:
+        break;
+    }
+}
+
+void EndpointWatch::suspectedByPeer(const EndpointId &endpoint, Instant now)
+{
+    m_endpoints[endpoint].peerSuspectUntil = now + peerSuspicion;
+}
+
+double EndpointWatch::failureRate(const EndpointId &endpoint, Instant now) const
+{
+    const auto entry = m_endpoints.find(endpoint);
+    if (entry == m_endpoints.end())
+        return 0;
+    Health health = entry->second;
+    decay(health, now);
+    // One good attempt is assumed, so that a single failure does not condemn an endpoint.
+    return health.bad / (health.bad + health.good + 1);
+}
+
+Duration EndpointWatch::usualTime(const EndpointId &endpoint) const
+{
+    const auto entry = m_endpoints.find(endpoint);
+    if (entry == m_endpoints.end())
+        return {};
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(entry->second.usualMs));
+}
+
+bool EndpointWatch::isSuspect(const EndpointId &endpoint, Instant now) const
+{
+    const auto entry = m_endpoints.find(endpoint);
+    return entry != m_endpoints.end()
+            && (entry->second.suspectUntil > now || entry->second.peerSuspectUntil > now);
+}
+
+bool EndpointWatch::isSuspectHere(const EndpointId &endpoint, Instant now) const
+{
+    const auto entry = m_endpoints.find(endpoint);
+    return entry != m_endpoints.end() && entry->second.suspectUntil > now;
+}
+
+std::vector<EndpointId> EndpointWatch::takeSilent(Instant now)
+{
+    std::vector<EndpointId> silent;
+    for (auto &[id, health] : m_endpoints) {
+        if (health.streaming == 0 || health.suspectUntil > now)
+            continue;
+        if (health.lastSign + silenceBase + silenceOfOne / health.streaming > now)
+            continue;
+        health.suspectUntil = now + suspicion;
+        silent.push_back(id);
+    }
+    return silent;
+}
+
+void EndpointWatch::decay(Health &health, Instant now)
+{
+    const double seconds = std::chrono::duration<double>(now - health.decayedAt).count();
+    if (seconds <= 0)
+        return;
+    const double kept = std::exp(-seconds / memorySeconds);
+    health.good *= kept;
+    health.bad *= kept;
+    health.decayedAt = now;
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/mesh/digest.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace monsoonsail {
+
+/// What one entry instance tells the others, several times a second. Counts run from the start of
+/// the process, so a lost digest loses nothing.
+struct Digest
+{
+    /// Work that the sender has placed on an endpoint.
+    struct EndpointLoad
+    {
+        EndpointId endpoint;
+        std::uint32_t running = 0;       ///< Requests sent and not finished.
+        std::uint32_t promptTokens = 0;  ///< Prompt tokens that are still to be read.
+        std::uint32_t contextTokens = 0; ///< Tokens in memory of the running requests.
+        bool isSuspect = false;          ///< Whether it has fallen silent or keeps failing.
+    };
+    /// Use of a client account's allowance, in the allowance's unit.
+    struct AccountUse
+    {
+        AccountId account;
+        double asked = 0;    ///< By requests that arrived.
+        double admitted = 0; ///< By requests that were let through.
+    };
+    /// Requests of a client account that began to run within a metering window.
+    struct UsageCount
+    {
+        std::uint64_t window = 0;
+        AccountId account;
+        std::uint32_t requests = 0;
+    };
+
+    std::string instance;
+    std::string incarnation;
+    std::string address; ///< "IP:port" at which the sender receives digests.
+    ZoneId zone;
+    std::uint64_t sequence = 0; ///< Counts the digests of an incarnation.
+    Instant sentAt;             ///< By the sender's clock.
+    Revision revision = 0;      ///< Configuration in force at the sender.
+    bool isStopping = false;
+    std::uint64_t fencingNumber = 0; ///< Set while the sender holds the duties.
+    std::vector<EndpointLoad> loads;
+    std::vector<AccountUse> uses;
+    std::vector<UsageCount> counts;
+    std::vector<EndpointId> leaving;      ///< Endpoints that are known to leave.
+    std::vector<std::string> neighbours;  ///< Addresses of the entry instances that it hears.
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/mesh/mesh.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/mesh/digest.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace monsoonsail {
+
+/// Another entry instance.
+struct Peer
+{
+    Digest digest; ///< The newest one.
+    Instant heardAt;
+    Duration clockOffset{}; ///< Its clock minus ours.
+};
+
+/// The other entry instances, as far as their digests tell.
+class Mesh
+{
+public:
+    /// `instance` is the name and `address` the digest address of this instance.
+    Mesh(std::string instance, std::string address);
+
+    /// Learns of an address at which an entry instance may be.
+    void learn(const std::string &address, Instant now);
+    /// Takes over a digest. Returns the peer, or nullptr if the digest is old or our own.
+    const Peer *received(const Digest &digest, Instant now);
+    /// Drops peers that have long been silent.
+    void expire(Instant now);
+
+    /// Returns the addresses that the next digest goes to. Those that don't answer get it rarely.
+    std::vector<std::string> targets(Instant now);
+    /// Returns the peers by name, the silent ones included.
+    const std::map<std::string, Peer> &peers() const { return m_peers; }
+    /// Whether the peer has been heard recently.
+    static bool isLive(const Peer &peer, Instant now);
+    /// Returns the entry instances that count: this one, and every peer that may still be serving.
+    unsigned instanceCount() const { return static_cast<unsigned>(m_peers.size()) + 1; }
+    /// Returns the addresses of the live peers.
+    std::vector<std::string> liveAddresses(Instant now) const;
+    /// Returns what to add to our clock to get the time that most instances agree on.
+    Duration clockCorrection() const;
+
+private:
+    struct Candidate
+    {
+        Instant learnedAt;
+        Instant nextTry;
+    };
+
+    const std::string m_instance;
+    const std::string m_address;
+    std::map<std::string, Peer> m_peers;
+    std::map<std::string, Candidate> m_candidates; ///< Addresses without a peer, by address.
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/mesh/presence.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/instant.h"
+#include "servers/mesh/mesh.h"
+#include "servers/ports/record_log.h"
+
+#include <functional>
+#include <string>
+
+namespace monsoonsail {
+
+/// Lets entry instances find each other through the store: each one leaves its address there and
+/// now and then reads those of the others.
+class Presence
+{
+public:
+    /// References must outlive the object.
+    Presence(std::string instance, std::string address, RecordLog &log, Mesh &mesh,
+             std::function<Instant()> now);
+
+    /// Called often.
+    void advance();
+
+private:
+    void announce();
+    void look();
+
+    const std::string m_instance;
+    const std::string m_address;
+    RecordLog &m_log;
+    Mesh &m_mesh;
+    const std::function<Instant()> m_now;
+    bool m_announced = false;
+    bool m_busy = false;
+    Instant m_nextAt;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/metering/usage_meter.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/mesh/digest.h"
+#include "servers/mesh/mesh.h"
+#include "servers/metering/usage_counts.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace monsoonsail {
+
+/// Counts the requests that begin to run, by metering window and client account, and collects the
+/// counts of the other entry instances.
+class UsageMeter
+{
+public:
+    /// `incarnation` is that of this process.
+    UsageMeter(std::string incarnation, Duration windowLength);
+
+    /// Sets what to add to the clock to get the true time.
+    void setClockCorrection(Duration correction) { m_correction = correction; }
+    /// Told once of each request when it begins to run.
+    void began(const AccountId &account, Instant at);
+    /// Takes over counts of an incarnation of an entry instance. Counts never fall.
+    void report(const std::string &incarnation, WindowNumber window, const UsageCounts &counts);
+    void peerReported(const Peer &peer);
+
+    /// Returns the window that an instant lies in.
+    WindowNumber windowAt(Instant at) const;
+    /// Returns the instant at which a window ends.
+    Instant windowEnd(WindowNumber window) const;
+    /// Returns the own counts of a window.
+    UsageCounts own(WindowNumber window) const;
+    /// Returns the counts of all entry instances for a window.
+    UsageCounts total(WindowNumber window) const;
+    /// Returns the own counts of the newest windows for the digest.
+    std::vector<Digest::UsageCount> recent() const;
+    /// Drops what is older than `window`.
+    void forgetBefore(WindowNumber window);
+
+private:
+    const std::string m_incarnation;
+    const Duration m_windowLength;
+    Duration m_correction{};
+    std::map<WindowNumber, std::map<std::string, UsageCounts>> m_counts; ///< By incarnation.
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/placement/engine_placer.cpp
@@ -0,0 +1,240 @@
+#include "servers/placement/engine_placer.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+/// Reading speed that is assumed until one has been measured; that of today's engines.
+constexpr double firstTokensPerMs = 60;
+/// Weight of the newest measurement.
+constexpr double speedWeight = 0.1;
+/// Only longer reads tell the speed apart from the fixed costs.
+constexpr std::uint32_t leastMeasuredTokens = 3000;
+/// Scheduling, the first step and the way to the engine and back, in ms.
+constexpr double fixedStartMs = 12;
+/// Each running request makes a step a little longer, in ms of the start.
+constexpr double perRunningMs = 1;
+/// A request that finds no free slot waits for one to end; about a tenth of a stream's time.
+constexpr double perQueuedMs = 100;
+/// What it costs to read 1,000 tokens again that another engine holds, and to copy them, in ms of
+/// the start that are given up for it. The platform's price of reading is seven times higher.
+constexpr double rereadMsPerThousand = 80;
+constexpr double copyMsPerThousand = 12;
+/// Part of the time to the goal that is planned with; beyond it every ms counts more.
+constexpr double plannedPart = 0.7;
+constexpr double latenessFactor = 4;
+/// A suspect engine is chosen only if all are.
+constexpr double suspectCostMs = 100'000;
+/// Prefixes below this size are not worth a copy.
+constexpr std::uint32_t leastCopiedTokens = 256;
+/// Equal choices spread over the engines by up to this many ms.
+constexpr double spreadMs = 4;
+constexpr Duration expiryInterval = std::chrono::seconds(5);
+
+double toMs(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+std::uint32_t tokensOf(std::span<const PromptPart> parts)
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPart &part : parts)
+        tokens += part.tokens;
+    return tokens;
+}
+
+/// Returns the two engines that a prefix belongs to by rendezvous hashing, the first one first.
+/// All instances agree on them as long as they know the same engines.
+std::pair<const Endpoint *, const Endpoint *> homes(PrefixHash prefix,
+                                                    std::span<const Endpoint *const> candidates)
+{
+    const Endpoint *first = nullptr;
+    const Endpoint *second = nullptr;
+    std::uint64_t firstScore = 0;
+    std::uint64_t secondScore = 0;
+    for (const Endpoint *engine : candidates) {
+        const std::uint64_t score = stableHash(engine->id.view(), prefix);
+        if (first == nullptr || score > firstScore) {
+            second = std::exchange(first, engine);
+            secondScore = std::exchange(firstScore, score);
+        } else if (second == nullptr || score > secondScore) {
+            second = engine;
+            secondScore = score;
+        }
+    }
+    return {first, second};
+}
+
+} // namespace
+
+EnginePlacer::EnginePlacer(const EndpointWatch &watch, std::uint64_t seed)
+    : m_watch(watch)
+    , m_random(seed)
+    , m_tokensPerMs(firstTokensPerMs)
+{ }
+
+std::optional<Placement> EnginePlacer::place(const PlacementRequest &request,
+                                             std::span<const Endpoint *const> candidates,
+                                             Instant now)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    m_peers.expire(now);
+    const std::vector<PrefixHash> prefixes = sharedPrefixes(request.parts);
+    const Endpoint *home = nullptr;
+    const Endpoint *second = nullptr;
+    if (!prefixes.empty())
+        std::tie(home, second) = homes(prefixes.back(), candidates);
+    Candidate best;
+    for (const Endpoint *engine : candidates) {
+        const Candidate candidate = judge(request, *engine, prefixes, engine == home, now);
+        if (best.engine == nullptr || candidate.cost < best.cost)
+            best = candidate;
+    }
+    Placement placement{.endpoint = best.engine->id,
+                        .uncachedTokens = best.uncachedTokens,
+                        .expectedStart = now + fromMs(best.startMs)};
+    // Where the prefix may be missing, it is copied from the engine that should hold it. After a
+    // change of the engines that is the one that comes second now.
+    const Endpoint *source = best.engine == home ? second : home;
+    const bool isHeld = m_cached.held(best.engine->id, prefixes, now) == prefixes.size();
+    const std::uint32_t shared =
+            prefixes.empty() ? 0 : tokensOf(request.parts.first(prefixes.size()));
+    if (source != nullptr && !isHeld && shared >= leastCopiedTokens
+        && request.service->engine->canMoveRuns && !m_watch.isSuspect(source->id, now))
+        placement.cache = {.kind = CacheSource::Kind::Copied, .address = source->listing.address};
+    return placement;
+}
+
+EnginePlacer::Candidate EnginePlacer::judge(const PlacementRequest &request, const Endpoint &engine,
+                                            std::span<const PrefixHash> prefixes, bool isHome,
+                                            Instant now)
+{
+    const Load own = ownLoad(engine.id);
+    const PeerLoads::Load peers = m_peers.of(engine.id);
+    const std::size_t held = m_cached.held(engine.id, prefixes, now);
+    const std::uint32_t shared = tokensOf(request.parts.first(prefixes.size()));
+    const std::uint32_t cached = isHome ? shared : tokensOf(request.parts.first(held));
+    Candidate candidate{.engine = &engine,
+                        .uncachedTokens = request.promptTokens - std::min(request.promptTokens,
+                                                                          cached)};
+    const bool isCopied = request.service->engine->canMoveRuns;
+    const std::uint32_t missing = shared - cached;
+    const double readTokens = own.promptTokens + peers.promptTokens + candidate.uncachedTokens
+            - (isCopied ? missing : 0);
+    const double running = own.running + peers.running;
+    const double queued = std::max(0.0, running + 1 - request.service->engine->batchSlots);
+    candidate.startMs = fixedStartMs + readTokens / m_tokensPerMs + running * perRunningMs
+            + queued * perQueuedMs;
+    candidate.cost = candidate.startMs
+            + missing * (isCopied ? copyMsPerThousand : rereadMsPerThousand) / 1000;
+    const double planned = plannedPart * std::max(0.0, toMs(request.goalAt - now));
+    candidate.cost += latenessFactor * std::max(0.0, candidate.startMs - planned);
+    if (m_watch.isSuspect(engine.id, now))
+        candidate.cost += suspectCostMs;
+    candidate.cost += spreadMs * m_random.unit();
+    return candidate;
+}
+
+void EnginePlacer::started(AttemptNumber attempt, const PlacementRequest &request,
+                           const Placement &placement, Instant now)
+{
+    const EndpointId &engine = placement.endpoint;
+    Load &load = m_loads[engine];
+    m_runs[attempt] = {.engine = engine,
+                       .uncachedTokens = placement.uncachedTokens,
+                       .contextTokens = request.promptTokens,
+                       .tokensPerEvent = request.service->engine->tokensPerEvent,
+                       .placedAt = now,
+                       .backlogTokens = load.promptTokens + m_peers.of(engine).promptTokens};
+    ++load.running;
+    load.promptTokens += placement.uncachedTokens;
+    load.contextTokens += request.promptTokens;
+    m_cached.used(engine, sharedPrefixes(request.parts), now);
+    if (now >= m_expiredAt + expiryInterval) {
+        m_expiredAt = now;
+        m_cached.expire(now);
+    }
+}
+
+void EnginePlacer::progressed(AttemptNumber attempt, std::uint32_t events, Instant now)
+{
+    const auto entry = m_runs.find(attempt);
+    if (entry == m_runs.end())
+        return;
+    Run &run = entry->second;
+    Load &load = m_loads[run.engine];
+    if (run.uncachedTokens > 0) {
+        learnSpeed(run, now);
+        load.promptTokens -= std::exchange(run.uncachedTokens, 0);
+    }
+    const std::uint32_t tokens = events * run.tokensPerEvent;
+    run.contextTokens += tokens;
+    load.contextTokens += tokens;
+}
+
+void EnginePlacer::learnSpeed(const Run &run, Instant now)
+{
+    const double tookMs = toMs(now - run.placedAt) - fixedStartMs;
+    if (run.uncachedTokens < leastMeasuredTokens || run.backlogTokens > 0 || tookMs <= 0)
+        return;
+    m_tokensPerMs += speedWeight * (run.uncachedTokens / tookMs - m_tokensPerMs);
+}
+
+void EnginePlacer::ended(AttemptNumber attempt, Instant /*now*/)
+{
+    const auto entry = m_runs.find(attempt);
+    if (entry == m_runs.end())
+        return;
+    const Run &run = entry->second;
+    Load &load = m_loads[run.engine];
+    --load.running;
+    load.promptTokens -= run.uncachedTokens;
+    load.contextTokens -= run.contextTokens;
+    if (load.running == 0)
+        m_loads.erase(run.engine);
+    m_runs.erase(entry);
+}
+
+void EnginePlacer::removed(const EndpointId &endpoint)
+{
+    m_cached.removed(endpoint);
+}
+
+void EnginePlacer::peerReported(const Peer &peer, Instant /*now*/)
+{
+    m_peers.reported(peer);
+}
+
+std::vector<Digest::EndpointLoad> EnginePlacer::loads(Instant now) const
+{
+    std::vector<Digest::EndpointLoad> loads;
+    for (const auto &[engine, load] : m_loads) {
+        loads.push_back({.endpoint = engine,
+                         .running = load.running,
+                         .promptTokens = load.promptTokens,
+                         .contextTokens = load.contextTokens,
+                         .isSuspect = m_watch.isSuspectHere(engine, now)});
+    }
+    return loads;
+}
+
+EnginePlacer::Load EnginePlacer::ownLoad(const EndpointId &engine) const
+{
+    const auto entry = m_loads.find(engine);
+    return entry == m_loads.end() ? Load() : entry->second;
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/placement/engine_placer.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "servers/endpoints/endpoint_watch.h"
+#include "servers/placement/peer_loads.h"
+#include "servers/placement/placer.h"
+#include "servers/placement/prompt_cache_map.h"
+
+#include <map>
+#include <vector>
+
+namespace monsoonsail {
+
+/// Places requests on model engines: where the first token is expected soonest, except that
+/// prompts with the same parts go to the same engine as long as that serves them in time.
+class EnginePlacer : public Placer
+{
+public:
+    /// `watch` must outlive the placer.
+    EnginePlacer(const EndpointWatch &watch, std::uint64_t seed);
+
+    std::optional<Placement> place(const PlacementRequest &request,
+                                   std::span<const Endpoint *const> candidates,
+                                   Instant now) override;
+    void started(AttemptNumber attempt, const PlacementRequest &request,
+                 const Placement &placement, Instant now) override;
+    void progressed(AttemptNumber attempt, std::uint32_t events, Instant now) override;
+    void ended(AttemptNumber attempt, Instant now) override;
+    void removed(const EndpointId &endpoint) override;
+    void peerReported(const Peer &peer, Instant now) override;
+    std::vector<Digest::EndpointLoad> loads(Instant now) const override;
+
+private:
+    struct Run
+    {
+        EndpointId engine;
+        std::uint32_t uncachedTokens = 0; ///< 0 once it has started.
+        std::uint32_t contextTokens = 0;
+        std::uint32_t tokensPerEvent = 1;
+        Instant placedAt;
+        double backlogTokens = 0; ///< Tokens that the engine had to read before.
+    };
+    struct Load
+    {
+        std::uint32_t running = 0;
+        std::uint32_t promptTokens = 0;
+        std::uint32_t contextTokens = 0;
+    };
+    struct Candidate
+    {
+        const Endpoint *engine = nullptr;
+        std::uint32_t uncachedTokens = 0;
+        double startMs = 0; ///< Until the first token.
+        double cost = 0;
+    };
+
+    Candidate judge(const PlacementRequest &request, const Endpoint &engine,
+                    std::span<const PrefixHash> prefixes, bool isHome, Instant now);
+    Load ownLoad(const EndpointId &engine) const;
+    void learnSpeed(const Run &run, Instant now);
+
+    const EndpointWatch &m_watch;
+    RandomSource m_random;
+    PeerLoads m_peers;
+    PromptCacheMap m_cached;
+    std::map<AttemptNumber, Run> m_runs;
+    std::map<EndpointId, Load> m_loads;
+    double m_tokensPerMs; ///< Prompt tokens that an engine reads.
+    Instant m_expiredAt;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/placement/peer_loads.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/mesh/mesh.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace monsoonsail {
+
+/// What the other entry instances have placed on the endpoints, by their newest digests.
+class PeerLoads
+{
+public:
+    struct Load
+    {
+        double running = 0;
+        double promptTokens = 0;
+        double contextTokens = 0;
+    };
+
+    void reported(const Peer &peer);
+    /// Drops the loads of peers that have been silent for a while. Called often.
+    void expire(Instant now);
+    /// Returns the load of an endpoint by all peers together.
+    Load of(const EndpointId &endpoint) const;
+
+private:
+    struct PeerLoad
+    {
+        Instant heardAt;
+        std::map<EndpointId, Load> loads;
+    };
+
+    std::map<std::string, PeerLoad> m_peers;
+    std::map<EndpointId, Load> m_totals;
+
+    void sum();
+};
+
+} // namespace monsoonsail
--- a/servers/placement/placement.h
+++ b/servers/placement/placement.h
@@ -20,7 +20,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< Expected.
     std::span<const PromptPart> parts;
-    bool isRepeat = false; ///< Whether it has been tried before.
+    Instant goalAt; ///< Its first byte counts in full until then.
 };
 
 /// The endpoint that gets a request.
@@ -28,6 +28,7 @@
 {
     EndpointId endpoint;
     CacheSource cache;
+    std::uint32_t uncachedTokens = 0; ///< Prompt tokens that it has to read, as far as is known.
     Instant expectedStart; ///< When its first byte is expected.
 };
 
--- a/servers/placement/placer.h
+++ b/servers/placement/placer.h
@@ -3,21 +3,16 @@
 #include "core/identifiers.h"
 #include "core/instant.h"
 #include "servers/endpoints/endpoint.h"
+#include "servers/mesh/digest.h"
+#include "servers/mesh/mesh.h"
 #include "servers/placement/placement.h"
 
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace monsoonsail {
 
-/// How an attempt ended, as far as its endpoint is concerned.
-enum class EndpointVerdict {
-    Good,
-    Failed,    ///< It failed, fell silent or broke off.
-    Refused,   ///< It declined, or did not accept a connection.
-    Unrelated, ///< It was cancelled for reasons of our own.
-};
-
 /// Chooses endpoints for requests and keeps count of the work that it has placed.
 class Placer
 {
@@ -28,13 +23,18 @@
     virtual std::optional<Placement> place(const PlacementRequest &request,
                                            std::span<const Endpoint *const> candidates,
                                            Instant now) = 0;
-    /// Told that an attempt with this number begins at an endpoint.
+    /// Told that an attempt begins at the endpoint of a placement.
     virtual void started(AttemptNumber attempt, const PlacementRequest &request,
-                         const EndpointId &endpoint, Instant now) = 0;
-    /// Told of events, or of the first byte of another answer.
+                         const Placement &placement, Instant now) = 0;
+    /// Told of events of a stream.
     virtual void progressed(AttemptNumber attempt, std::uint32_t events, Instant now) = 0;
-    virtual void ended(AttemptNumber attempt, EndpointVerdict verdict, Instant now) = 0;
+    virtual void ended(AttemptNumber attempt, Instant now) = 0;
     virtual void removed(const EndpointId &endpoint) = 0;
+
+    /// Takes over what a peer has placed.
+    virtual void peerReported(const Peer &peer, Instant now) = 0;
+    /// Returns what this instance has placed, for its digest.
+    virtual std::vector<Digest::EndpointLoad> loads(Instant now) const = 0;
 };
 
 } // namespace monsoonsail
--- /dev/null
+++ b/servers/placement/prompt_cache_map.cpp
@@ -0,0 +1,56 @@
+#include "servers/placement/prompt_cache_map.h"
+
+#include "core/hash.h"
+
+#include <string_view>
+
+namespace monsoonsail {
+
+namespace {
+/// Engines drop the parts used least recently. Their caches hold minutes of today's prompts.
+constexpr Duration memory = std::chrono::seconds(60);
+} // namespace
+
+std::vector<PrefixHash> sharedPrefixes(std::span<const PromptPart> parts)
+{
+    std::vector<PrefixHash> prefixes;
+    PrefixHash hash = 0;
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
+        const std::uint64_t id = parts[index].id;
+        hash = stableHash({reinterpret_cast<const char *>(&id), sizeof id}, hash);
+        prefixes.push_back(hash);
+    }
+    return prefixes;
+}
+
+void PromptCacheMap::used(const EndpointId &engine, std::span<const PrefixHash> prefixes,
+                          Instant now)
+{
+    auto &ofEngine = m_engines[engine];
+    for (const PrefixHash prefix : prefixes)
+        ofEngine[prefix] = now;
+}
+
+std::size_t PromptCacheMap::held(const EndpointId &engine, std::span<const PrefixHash> prefixes,
+                                 Instant now) const
+{
+    const auto ofEngine = m_engines.find(engine);
+    if (ofEngine == m_engines.end())
+        return 0;
+    std::size_t count = 0;
+    for (const PrefixHash prefix : prefixes) {
+        const auto entry = ofEngine->second.find(prefix);
+        if (entry == ofEngine->second.end() || entry->second + memory < now)
+            break;
+        ++count;
+    }
+    return count;
+}
+
+void PromptCacheMap::expire(Instant now)
+{
+    for (auto &[engine, prefixes] : m_engines)
+        std::erase_if(prefixes, [now](const auto &entry) { return entry.second + memory < now; });
+}
+
+} // namespace monsoonsail
--- a/servers/retry/repeat_budget.h
+++ b/servers/retry/repeat_budget.h
@@ -26,6 +26,7 @@
         : m_limit(limit)
     { }
 
+    void setLimit(const RepeatLimit &limit) { m_limit = limit; }
     /// Sets the number of entry instances that share the slack. At least 1.
     void setInstances(unsigned instances) { m_instances = instances; }
     /// Told of every new request for the service.
@@ -51,7 +52,7 @@
 
     Use &current(const ServiceId &service, Instant now);
 
-    const RepeatLimit m_limit;
+    RepeatLimit m_limit;
     unsigned m_instances = 1;
     std::map<ServiceId, Use> m_uses;
 };
--- /dev/null
+++ b/servers/serving/request_admission.cpp
@@ -0,0 +1,84 @@
+#include "servers/serving/request_admission.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace monsoonsail {
+
+namespace {
+
+/// A newer configuration, or the first one, is here within this time as a rule.
+constexpr Duration configurationRetry = std::chrono::milliseconds(300);
+/// The balancer knows of a stop by then, and sends the caller elsewhere.
+constexpr Duration stoppingRetry = std::chrono::milliseconds(200);
+/// A request with less time left can't be answered in it.
+constexpr Duration leastUsefulTime = std::chrono::milliseconds(5);
+
+/// Returns what a request counts against an allowance.
+double chargeOf(const RequestArrival &arrival, const Allowance &allowance)
+{
+    if (!allowance.countsTokens)
+        return 1;
+    if (!arrival.promptTokens)
+        return allowance.plainTokens;
+    return static_cast<double>(*arrival.promptTokens) + arrival.maxOutputTokens;
+}
+
+/// Chooses a service of the route by the weights of their shares.
+const Service *chooseService(const Route &route, const SiteConfiguration &configuration,
+                             RandomSource &random)
+{
+    std::uint64_t total = 0;
+    for (const ServiceShare &share : route.split)
+        total += share.weight;
+    if (total == 0)
+        return nullptr;
+    std::uint64_t pick = random.below(total);
+    for (const ServiceShare &share : route.split) {
+        if (pick < share.weight)
+            return configuration.findService(share.service);
+        pick -= share.weight;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+AdmissionVerdict admitRequest(RequestRecord &record, ServingContext &context, Instant now)
+{
+    if (context.refusesNew)
+        return {.error = ErrorKind::Stopping, .retryAt = now + stoppingRetry};
+    record.configuration = context.configuration;
+    if (!record.configuration)
+        return {.error = ErrorKind::NotReady, .retryAt = now + configurationRetry};
+    const RequestArrival &arrival = record.arrival;
+    // An old configuration may lack what has been added since, so it does not justify a refusal
+    // for good.
+    const AdmissionVerdict unsure{.error = ErrorKind::NotReady, .retryAt = now + configurationRetry};
+    const bool isSure = context.isConfigurationFresh(now);
+    record.route = record.configuration->findRoute(arrival.host, arrival.path);
+    if (record.route == nullptr)
+        return isSure ? AdmissionVerdict{.error = ErrorKind::NotFound} : unsure;
+    if (!record.route->isPublic) {
+        record.account = record.configuration->findAccount(arrival.apiKey);
+        if (record.account == nullptr)
+            return isSure ? AdmissionVerdict{.error = ErrorKind::Unauthenticated} : unsure;
+    }
+    record.answerBy = arrival.arrivedAt + record.route->timeout;
+    if (arrival.callerDeadline)
+        record.answerBy = std::min(record.answerBy, *arrival.callerDeadline);
+    if (record.answerBy - now < leastUsefulTime)
+        return {.error = ErrorKind::Overloaded};
+    record.service = chooseService(*record.route, *record.configuration, context.random);
+    if (record.service == nullptr)
+        return {.error = ErrorKind::NoEndpoint, .retryAt = now + configurationRetry};
+    if (record.account != nullptr) {
+        const double charge = chargeOf(arrival, record.account->allowance);
+        if (const auto retryAt = context.allowances.admit(record.account->name, charge, now))
+            return {.error = ErrorKind::ShareExceeded, .retryAt = retryAt};
+        record.charge = charge;
+    }
+    return {};
+}
+
+} // namespace monsoonsail
--- a/servers/serving/request_record.h
+++ b/servers/serving/request_record.h
@@ -19,9 +19,7 @@
     AttemptNumber number = 0;
     EndpointId endpoint;
     Instant startedAt;
-    Instant lastProgress; ///< Start, or the last event that was passed on.
-    std::uint32_t events = 0;
-    bool isHedge = false;
+    bool hasEvents = false;
 };
 
 /// Control state of one request in progress.
@@ -34,27 +32,27 @@
     const Account *account = nullptr; ///< Null if the route is public.
     const Service *service = nullptr;
 
-    Instant answerBy;                 ///< The final answer is due.
-    Instant recheckAt = Instant::max(); ///< When to try again to place it.
-    Instant hedgeAt = Instant::max(); ///< When a second attempt may start beside the first.
+    Instant answerBy;                   ///< The final answer is due.
+    Instant hedgeAt = Instant::max();   ///< When a second attempt may start beside the first.
     std::vector<RunningAttempt> running;
     std::set<EndpointId> avoided; ///< Endpoints that failed or declined it.
     unsigned runs = 0;            ///< Attempts that may have run, the running ones included.
     unsigned repeats = 0;         ///< Attempts after the first one.
+    unsigned breaks = 0;          ///< Attempts that broke off; their endpoints may have ended.
     bool mayHaveRun = false;      ///< Whether some attempt may have run.
     bool isStreaming = false;     ///< Whether the caller has got events.
-    bool isCounted = false;       ///< Whether its run has been metered.
+    bool isMetered = false;       ///< Whether its run has been counted.
+    double charge = 0;            ///< What it took from the allowance of its account.
     std::optional<EventId> lastEvent;
     AttemptNumber failureAnswer = 0; ///< Attempt with a whole answer that tells of a failure.
-    Instant dueAt;                ///< Entry of the deadline queue.
+    Instant dueAt;                   ///< Entry of the deadline queue.
 
+    bool isStream() const { return route->kind == RequestKind::Streaming; }
     /// Whether the request may run on another endpoint after it may have run on one.
     bool isIdempotent() const
     {
-        return route->kind == RequestKind::Safe
-                || (route->kind == RequestKind::Streaming && route->isResumable);
+        return route->kind == RequestKind::Safe || (isStream() && route->isResumable);
     }
-    bool isStream() const { return route->kind == RequestKind::Streaming; }
 };
 
 } // namespace monsoonsail
--- /dev/null
+++ b/servers/serving/serving_context.cpp
@@ -0,0 +1,33 @@
+#include "servers/serving/serving_context.h"
+
+#include "core/hash.h"
+#include "servers/placement/engine_placer.h"
+#include "servers/placement/service_placer.h"
+
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+// Random choices in different places must not follow each other.
+constexpr std::uint64_t engineSeed = 1;
+constexpr std::uint64_t serviceSeed = 2;
+} // namespace
+
+ServingContext::ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
+                               const std::string &incarnation, TrafficPort &trafficPort,
+                               DecisionLog &decisionLog)
+    : limits(servingLimits)
+    , zone(std::move(ownZone))
+    , traffic(trafficPort)
+    , log(decisionLog)
+    , random(stableHash(incarnation))
+    , enginePlacer(std::make_unique<EnginePlacer>(watch, stableHash(incarnation, engineSeed)))
+    , servicePlacer(
+              std::make_unique<ServicePlacer>(zone, watch, stableHash(incarnation, serviceSeed)))
+    , repeats(limits.repeats)
+    , allowances(limits.allowances)
+    , meter(incarnation, limits.usageWindow)
+{ }
+
+} // namespace monsoonsail
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -3,7 +3,10 @@
 #include "core/identifiers.h"
 #include "core/instant.h"
 #include "core/random_source.h"
+#include "servers/allowance/allowance_ledger.h"
 #include "servers/endpoints/endpoint_registry.h"
+#include "servers/endpoints/endpoint_watch.h"
+#include "servers/metering/usage_meter.h"
 #include "servers/placement/placer.h"
 #include "servers/ports/decision_log.h"
 #include "servers/ports/traffic_port.h"
@@ -12,28 +15,45 @@
 #include "servers/site/site_configuration.h"
 
 #include <memory>
+#include <string>
 
 namespace monsoonsail {
 
-/// State that the parts of the serving core share. Owned by ServingCore.
+/// State that the parts of the serving core share. Owned by the control plane.
 struct ServingContext
 {
+    ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
+                   const std::string &incarnation, TrafficPort &trafficPort,
+                   DecisionLog &decisionLog);
+    ServingContext(const ServingContext &) = delete;
+    ServingContext &operator=(const ServingContext &) = delete;
+
+    /// Whether the configuration is recent enough to tell a caller that something isn't in it.
+    bool isConfigurationFresh(Instant now) const
+    {
+        return configurationAsOf + limits.configurationAge > now;
+    }
+    /// Returns the placer for endpoints of this kind of service.
+    Placer &placerFor(const Service &service) const
+    {
+        return service.engine ? *enginePlacer : *servicePlacer;
+    }
+
     ServingLimits limits;
+    const ZoneId zone;
     TrafficPort &traffic;
     DecisionLog &log;
-    std::unique_ptr<Placer> placer;
     RandomSource random;
-    RepeatBudget repeats{limits.repeats};
     EndpointRegistry endpoints;
+    EndpointWatch watch;
+    std::unique_ptr<Placer> enginePlacer;
+    std::unique_ptr<Placer> servicePlacer;
+    RepeatBudget repeats;
+    AllowanceLedger allowances;
+    UsageMeter meter;
     std::shared_ptr<const SiteConfiguration> configuration; ///< In force; null before the first.
     Instant configurationAsOf; ///< The configuration was the newest one at this instant.
     bool refusesNew = false;   ///< Whether the process is about to end.
-
-    /// Whether the configuration is recent enough to tell a caller that something isn't in it.
-    bool isConfigurationFresh(Instant now) const
-    {
-        return configurationAsOf + limits.configurationAge > now;
-    }
 };
 
 } // namespace monsoonsail
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -1,8 +1,9 @@
 #include "servers/serving/serving_core.h"
 
+#include "servers/serving/request_admission.h"
+
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace monsoonsail {
 
@@ -14,22 +15,38 @@
 /// When a request that found no endpoint is worth sending again: endpoints are listed anew about
 /// twice a second.
 constexpr Duration noEndpointRetry = std::chrono::milliseconds(500);
-constexpr Duration notReadyRetry = std::chrono::milliseconds(300);
+/// When a request that endpoints declined is worth sending again: a few answers later.
+constexpr Duration overloadedRetry = std::chrono::milliseconds(250);
 /// An attempt with less time left is not worth its start.
 constexpr Duration leastUsefulTime = std::chrono::milliseconds(5);
-/// Attempts that did not run are repeated at most so often.
+/// Attempts after the first; more would only spread trouble.
 constexpr unsigned maxRepeats = 4;
+/// Runs beyond the route's attempts that follow attempts that broke off: as a rule their endpoint
+/// has ended, and such runs don't count.
+constexpr unsigned maxRunsAfterBreaks = 1;
 /// An idle connection that a request may not be lost on must have been used this recently.
 constexpr Duration certainIdle = std::chrono::milliseconds(900);
-
+/// Part of the time to the goal after which a second attempt starts beside the first.
+constexpr int hedgePercent = 40;
+/// Output of a stream whose caller gives no estimate.
+constexpr std::uint32_t usualOutputTokens = 128;
 constexpr int firstServerErrorStatus = 500;
-/// Events that a stream's caller can't tell from a pause of the endpoint.
-constexpr std::uint32_t defaultOutputTokens = 128;
 
-bool mayHaveReached(AttemptResult result)
+PlacementRequest placementRequest(const RequestRecord &record)
 {
-    return result == AttemptResult::Interrupted || result == AttemptResult::Answered
-            || result == AttemptResult::Streamed;
+    const RequestArrival &arrival = record.arrival;
+    return {.service = record.service,
+            .promptTokens = arrival.promptTokens.value_or(0),
+            .outputTokens = arrival.expectedOutputTokens > 0
+                    ? arrival.expectedOutputTokens
+                    : std::min(arrival.maxOutputTokens, usualOutputTokens),
+            .parts = arrival.promptParts,
+            .goalAt = arrival.arrivedAt + record.route->responseGoal};
+}
+
+std::int64_t toLog(std::uint64_t number)
+{
+    return static_cast<std::int64_t>(number);
 }
 
 } // namespace
@@ -43,143 +60,105 @@
     RequestRecord &record = m_requests[arrival.number];
     record.arrival = arrival;
     record.lastEvent = arrival.resumeAfter;
-    const ErrorKind error = admit(record, now);
-    if (error != ErrorKind::None) {
-        giveUp(record, error, now);
-        return;
-    }
-    chooseService(record);
-    if (record.service == nullptr) {
-        giveUp(record, ErrorKind::NoEndpoint, now);
+    const AdmissionVerdict verdict = admitRequest(record, m_context, now);
+    if (verdict.error != ErrorKind::None) {
+        refuse(record, verdict.error, verdict.retryAt, "not admitted");
         return;
     }
     m_context.repeats.arrived(record.service->name, now);
     start(record, now);
 }
 
-ErrorKind ServingCore::admit(RequestRecord &record, Instant now) const
-{
-    if (m_context.refusesNew)
-        return ErrorKind::Stopping;
-    record.configuration = m_context.configuration;
-    if (!record.configuration)
-        return ErrorKind::NotReady;
-    const RequestArrival &arrival = record.arrival;
-    // An old configuration may lack what has been added since.
-    const bool isFresh = m_context.isConfigurationFresh(now);
-    record.route = record.configuration->findRoute(arrival.host, arrival.path);
-    if (record.route == nullptr)
-        return isFresh ? ErrorKind::NotFound : ErrorKind::NotReady;
-    if (!record.route->isPublic) {
-        record.account = record.configuration->findAccount(arrival.apiKey);
-        if (record.account == nullptr)
-            return isFresh ? ErrorKind::Unauthenticated : ErrorKind::NotReady;
-    }
-    record.answerBy = arrival.arrivedAt + record.route->timeout;
-    if (arrival.callerDeadline)
-        record.answerBy = std::min(record.answerBy, *arrival.callerDeadline);
-    return record.answerBy - now < leastUsefulTime ? ErrorKind::Overloaded : ErrorKind::None;
-}
-
-void ServingCore::chooseService(RequestRecord &record)
+std::vector<const Endpoint *> ServingCore::candidates(const RequestRecord &record,
+                                                      Instant now) const
 {
-    const std::vector<ServiceShare> &split = record.route->split;
-    std::uint64_t total = 0;
-    for (const ServiceShare &share : split)
-        total += share.weight;
-    if (total == 0)
-        return;
-    std::uint64_t pick = m_context.random.below(total);
-    for (const ServiceShare &share : split) {
-        if (pick < share.weight) {
-            record.service = record.configuration->findService(share.service);
-            return;
-        }
-        pick -= share.weight;
+    std::vector<const Endpoint *> untried;
+    std::vector<const Endpoint *> tried;
+    for (const auto &[id, endpoint] : m_context.endpoints.all()) {
+        if (endpoint.listing.service != record.service->name || !endpoint.isUsable(now))
+            continue;
+        const bool isRunning =
+                std::ranges::find(record.running, id, &RunningAttempt::endpoint)
+                != record.running.end();
+        if (!isRunning)
+            (record.avoided.contains(id) ? tried : untried).push_back(&endpoint);
     }
+    return untried.empty() ? tried : untried;
 }
 
 std::optional<Placement> ServingCore::place(const RequestRecord &record, Instant now)
 {
-    std::vector<const Endpoint *> fresh;
-    std::vector<const Endpoint *> avoided;
-    for (const auto &[id, endpoint] : m_context.endpoints.all()) {
-        if (endpoint.state != EndpointState::Ready
-            || endpoint.listing.service != record.service->name)
-            continue;
-        const bool isRunning = std::ranges::any_of(record.running, [&id](const auto &attempt) {
-            return attempt.endpoint == id;
-        });
-        if (!isRunning)
-            (record.avoided.contains(id) ? avoided : fresh).push_back(&endpoint);
-    }
-    const RequestArrival &arrival = record.arrival;
-    const PlacementRequest request{.service = record.service,
-                                   .promptTokens = arrival.promptTokens.value_or(0),
-                                   .outputTokens = arrival.expectedOutputTokens > 0
-                                           ? arrival.expectedOutputTokens
-                                           : std::max(arrival.maxOutputTokens, defaultOutputTokens),
-                                   .parts = arrival.promptParts,
-                                   .isRepeat = record.repeats > 0};
-    const std::vector<const Endpoint *> &candidates = fresh.empty() ? avoided : fresh;
-    return m_context.placer->place(request, candidates, now);
+    Placer &placer = m_context.placerFor(*record.service);
+    return placer.place(placementRequest(record), candidates(record, now), now);
 }
 
 void ServingCore::start(RequestRecord &record, Instant now)
 {
     const std::optional<Placement> placement = place(record, now);
     if (!placement) {
-        giveUp(record, ErrorKind::NoEndpoint, now);
+        giveUp(record, ErrorKind::NoEndpoint, "no endpoint", now);
         return;
     }
-    begin(record, *placement, false, now);
+    const bool mayHedge = record.route->kind == RequestKind::Safe && record.repeats == 0
+            && record.route->attempts > 1;
+    if (mayHedge)
+        record.hedgeAt = now + record.route->responseGoal * hedgePercent / 100;
+    begin(record, *placement, now);
 }
 
-void ServingCore::begin(RequestRecord &record, const Placement &placement, bool isHedge,
-                        Instant now)
+void ServingCore::begin(RequestRecord &record, const Placement &placement, Instant now)
 {
     const Endpoint &endpoint = *m_context.endpoints.find(placement.endpoint);
     const AttemptNumber number = ++m_lastAttempt;
-    record.running.push_back({.number = number,
-                              .endpoint = endpoint.id,
-                              .startedAt = now,
-                              .lastProgress = now,
-                              .isHedge = isHedge});
+    record.running.push_back({.number = number, .endpoint = endpoint.id, .startedAt = now});
     ++record.runs;
+    m_context.watch.started(number, endpoint.id, record.isStream(), now);
+    m_context.placerFor(*record.service)
+            .started(number, placementRequest(record), placement, now);
     const RequestArrival &arrival = record.arrival;
-    const PlacementRequest request{.service = record.service,
-                                   .promptTokens = arrival.promptTokens.value_or(0),
-                                   .outputTokens = arrival.maxOutputTokens,
-                                   .parts = arrival.promptParts};
-    m_context.placer->started(number, request, endpoint.id, now);
-    const std::optional<unsigned> accountPriority =
-            record.account != nullptr ? record.account->priority : std::nullopt;
     std::optional<unsigned> urgency;
-    if (record.service->engine)
-        urgency = accountPriority.value_or(record.route->priority);
+    if (record.service->engine) {
+        urgency = record.route->priority;
+        if (record.account != nullptr && record.account->priority)
+            urgency = record.account->priority;
+    }
     m_context.log.write(LogLevel::Detail, "attempt-started", arrival.callerId,
-                        {{"attempt", static_cast<std::int64_t>(number)},
+                        {{"attempt", toLog(number)},
                          {"endpoint", endpoint.id.view()},
-                         {"run", static_cast<std::int64_t>(record.runs)},
-                         {"hedge", isHedge}});
-    m_context.traffic.start({.request = arrival.number,
-                             .attempt = number,
-                             .endpoint = endpoint.id,
-                             .address = endpoint.listing.address,
-                             .instance = endpoint.listing.instance,
-                             .account = record.account != nullptr ? record.account->name
-                                                                  : AccountId(),
-                             .urgency = urgency,
-                             .resumeAfter = record.lastEvent,
-                             .cache = placement.cache,
-                             .isStream = record.isStream(),
-                             .idleSince = record.isIdempotent() ? Instant::min()
-                                                                : now - certainIdle,
-                             .connectDeadline = std::min(now + connectTimeout, record.answerBy),
-                             .deadline = record.answerBy});
+                         {"run", toLog(record.runs)},
+                         {"uncached_tokens", toLog(placement.uncachedTokens)},
+                         {"revision", toLog(record.configuration->revision())}});
+    m_context.traffic.start(
+            {.request = arrival.number,
+             .attempt = number,
+             .endpoint = endpoint.id,
+             .address = endpoint.listing.address,
+             .instance = endpoint.listing.instance,
+             .account = record.account != nullptr ? record.account->name : AccountId(),
+             .urgency = urgency,
+             .resumeAfter = record.lastEvent,
+             .cache = placement.cache,
+             .isStream = record.isStream(),
+             .idleSince = record.isIdempotent() ? Instant::min() : now - certainIdle,
+             .connectDeadline = std::min(now + connectTimeout, record.answerBy),
+             .deadline = record.answerBy});
     schedule(record);
 }
 
+void ServingCore::hedge(RequestRecord &record, Instant now)
+{
+    record.hedgeAt = Instant::max();
+    const auto placement = place(record, now);
+    if (!placement || record.avoided.contains(placement->endpoint)
+        || record.runs >= record.route->attempts
+        || !m_context.repeats.take(record.service->name, now)) {
+        schedule(record);
+        return;
+    }
+    ++record.repeats;
+    begin(record, *placement, now);
+}
+
 void ServingCore::callerGone(RequestNumber request, Instant now)
 {
     const auto entry = m_requests.find(request);
@@ -187,10 +166,12 @@
         return;
     RequestRecord &record = entry->second;
     m_context.log.write(LogLevel::Detail, "caller-gone", record.arrival.callerId,
-                        {{"running", static_cast<std::int64_t>(record.running.size())}});
-    cancelRunning(record, EndpointVerdict::Unrelated, now);
+                        {{"running", toLog(record.running.size())}});
+    if (!record.running.empty() && !record.isStream())
+        meter(record, record.running.front().startedAt);
+    stopAll(record, EndpointVerdict::Unrelated, now);
     m_context.traffic.finish(request);
-    erase(request);
+    erase(record);
 }
 
 void ServingCore::progressed(std::span<const StreamProgress> streams, Instant now)
@@ -202,13 +183,14 @@
         RequestRecord &record = entry->second;
         record.isStreaming = true;
         record.lastEvent = progress.lastEvent;
-        for (RunningAttempt &attempt : record.running) {
-            if (attempt.number != progress.attempt)
-                continue;
-            attempt.events += progress.events;
-            attempt.lastProgress = progress.lastEventAt;
-            m_context.placer->progressed(attempt.number, progress.events, now);
-        }
+        meter(record, progress.lastEventAt);
+        const auto attempt =
+                std::ranges::find(record.running, progress.attempt, &RunningAttempt::number);
+        if (attempt == record.running.end())
+            continue;
+        attempt->hasEvents = true;
+        m_context.watch.progressed(progress.attempt, progress.lastEventAt);
+        m_context.placerFor(*record.service).progressed(progress.attempt, progress.events, now);
     }
 }
 
@@ -223,105 +205,122 @@
         return;
     const RunningAttempt attempt = *running;
     record.running.erase(running);
-    if (end.lastEvent)
-        record.lastEvent = end.lastEvent;
     const bool isSuccess = end.result == AttemptResult::Streamed
             || (end.result == AttemptResult::Answered && end.status < firstServerErrorStatus);
-    EndpointVerdict verdict = isSuccess ? EndpointVerdict::Good : EndpointVerdict::Failed;
-    if (end.result == AttemptResult::NotSent || end.result == AttemptResult::Declined)
-        verdict = EndpointVerdict::Refused;
-    m_context.placer->ended(attempt.number, verdict, now);
+    const bool didNotRun = end.result == AttemptResult::NotSent
+            || end.result == AttemptResult::Declined || end.result == AttemptResult::Misdirected;
+    EndpointVerdict verdict = didNotRun ? EndpointVerdict::Refused : EndpointVerdict::Failed;
+    if (isSuccess)
+        verdict = EndpointVerdict::Good;
+    m_context.watch.ended(attempt.number, verdict, now);
+    m_context.placerFor(*record.service).ended(attempt.number, now);
     m_context.log.write(isSuccess ? LogLevel::Detail : LogLevel::Warning, "attempt-ended",
                         record.arrival.callerId,
-                        {{"attempt", static_cast<std::int64_t>(attempt.number)},
+                        {{"attempt", toLog(attempt.number)},
                          {"endpoint", attempt.endpoint.view()},
                          {"result", attemptResultName(end.result)},
                          {"status", static_cast<std::int64_t>(end.status)},
                          {"reason", end.reason},
                          {"reused", end.connectionReused}});
-    if (mayHaveReached(end.result))
-        record.mayHaveRun = true;
-    else
-        --record.runs;
     if (end.result == AttemptResult::Misdirected)
         m_context.endpoints.leaving(attempt.endpoint, now);
+    if (didNotRun) {
+        --record.runs;
+    } else {
+        record.mayHaveRun = true;
+        // A stream begins to run with its first event.
+        if (!record.isStream() || end.result == AttemptResult::Streamed)
+            meter(record, end.sentAt);
+    }
     if (isSuccess) {
-        answered(record, attempt, end, now);
+        succeeded(record, end, now);
         return;
     }
     record.avoided.insert(attempt.endpoint);
     failed(record, end, now);
 }
 
-void ServingCore::answered(RequestRecord &record, const RunningAttempt &attempt,
-                           const AttemptEnd &end, Instant now)
+void ServingCore::succeeded(RequestRecord &record, const AttemptEnd &end, Instant now)
 {
-    cancelRunning(record, EndpointVerdict::Unrelated, now);
+    stopAll(record, EndpointVerdict::Unrelated, now);
     if (end.result == AttemptResult::Streamed)
         m_context.traffic.finish(end.request);
     else
-        m_context.traffic.deliver(end.request, attempt.number);
-    erase(end.request);
+        m_context.traffic.deliver(end.request, end.attempt);
+    erase(record);
 }
 
 void ServingCore::failed(RequestRecord &record, const AttemptEnd &end, Instant now)
 {
+    if (end.result == AttemptResult::Answered)
+        record.failureAnswer = end.attempt;
+    if (end.result == AttemptResult::Interrupted)
+        ++record.breaks;
     // A hedge, or the attempt that was hedged, goes on.
     if (!record.running.empty())
         return;
-    if (end.result == AttemptResult::Answered)
-        record.failureAnswer = end.attempt;
-    if (!mayTryAgain(record, mayHaveReached(end.result), now)) {
-        if (record.failureAnswer != 0) {
-            m_context.traffic.deliver(end.request, record.failureAnswer);
-            erase(end.request);
-            return;
-        }
-        const ErrorKind unknown = record.isStreaming ? ErrorKind::AnswerInterrupted
-                                                     : ErrorKind::EndpointFailed;
-        giveUp(record, record.mayHaveRun ? unknown : ErrorKind::NoEndpoint, now);
+    if (!mayTryAgain(record, now)) {
+        giveUp(record, ErrorKind::Overloaded, "no further attempt", now);
         return;
     }
     // An attempt that left nothing at an endpoint is no repeat for it.
-    if (end.result != AttemptResult::NotSent && !m_context.repeats.take(record.service->name, now)) {
-        m_context.log.write(LogLevel::Warning, "repeat-refused", record.arrival.callerId,
-                            {{"service", record.service->name.view()}});
-        if (record.failureAnswer != 0) {
-            m_context.traffic.deliver(end.request, record.failureAnswer);
-            erase(end.request);
-            return;
-        }
-        giveUp(record, record.mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::Overloaded, now);
+    if (end.result != AttemptResult::NotSent
+        && !m_context.repeats.take(record.service->name, now)) {
+        giveUp(record, ErrorKind::Overloaded, "no repeat left in the budget", now);
         return;
     }
     ++record.repeats;
     start(record, now);
 }
 
-bool ServingCore::mayTryAgain(const RequestRecord &record, bool mayHaveRun, Instant now) const
+bool ServingCore::mayTryAgain(const RequestRecord &record, Instant now) const
 {
     if (record.repeats >= maxRepeats || record.answerBy - now < leastUsefulTime)
         return false;
-    if (!mayHaveRun && !record.mayHaveRun)
+    if (!record.mayHaveRun)
         return true;
-    return record.isIdempotent() && record.runs < record.route->attempts;
+    const unsigned allowed =
+            record.route->attempts + std::min(record.breaks, maxRunsAfterBreaks);
+    return record.isIdempotent() && record.runs < allowed;
+}
+
+void ServingCore::giveUp(RequestRecord &record, ErrorKind ifNotRun, std::string_view cause,
+                         Instant now)
+{
+    if (record.failureAnswer != 0) {
+        m_context.log.write(LogLevel::Warning, "failure-passed-on", record.arrival.callerId,
+                            {{"attempt", toLog(record.failureAnswer)}, {"cause", cause}});
+        m_context.traffic.deliver(record.arrival.number, record.failureAnswer);
+        erase(record);
+        return;
+    }
+    if (record.isStreaming) {
+        refuse(record, ErrorKind::AnswerInterrupted, std::nullopt, cause);
+        return;
+    }
+    if (record.mayHaveRun) {
+        refuse(record, ErrorKind::EndpointFailed, std::nullopt, cause);
+        return;
+    }
+    const Duration pause = ifNotRun == ErrorKind::NoEndpoint ? noEndpointRetry : overloadedRetry;
+    refuse(record, ifNotRun, now + pause, cause);
 }
 
-void ServingCore::giveUp(RequestRecord &record, ErrorKind kind, Instant now)
+void ServingCore::refuse(RequestRecord &record, ErrorKind kind, std::optional<Instant> retryAt,
+                         std::string_view cause)
 {
     const ErrorAnswer &answer = errorAnswer(kind);
-    m_context.log.write(LogLevel::Warning, "request-refused", record.arrival.callerId,
-                        {{"kind", answer.name},
-                         {"revision", static_cast<std::int64_t>(
-                                              m_context.configuration
-                                                      ? m_context.configuration->revision()
-                                                      : 0)}});
-    std::optional<Instant> retryAt;
-    if (answer.retryable)
-        retryAt = now + (kind == ErrorKind::NoEndpoint ? noEndpointRetry : notReadyRetry);
-    const RequestNumber number = record.arrival.number;
-    m_context.traffic.refuse({.request = number, .kind = kind, .retryAt = retryAt});
-    erase(number);
+    m_context.log.write(
+            LogLevel::Warning, "request-refused", record.arrival.callerId,
+            {{"kind", answer.name},
+             {"cause", cause},
+             {"account", record.account != nullptr ? record.account->name.view()
+                                                   : std::string_view()},
+             {"revision", toLog(record.configuration ? record.configuration->revision() : 0)}});
+    if (!record.mayHaveRun && record.account != nullptr)
+        m_context.allowances.refund(record.account->name, record.charge);
+    m_context.traffic.refuse({.request = record.arrival.number, .kind = kind, .retryAt = retryAt});
+    erase(record);
 }
 
 void ServingCore::expire(Instant now)
@@ -332,36 +331,89 @@
 
 void ServingCore::expireRequest(RequestRecord &record, Instant now)
 {
-    if (record.answerBy <= now) {
-        const bool mayHaveRun = record.mayHaveRun || !record.running.empty();
-        cancelRunning(record, EndpointVerdict::Failed, now);
-        giveUp(record, mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::Overloaded, now);
+    if (record.answerBy > now) {
+        if (record.hedgeAt <= now)
+            hedge(record, now);
+        else
+            schedule(record);
         return;
     }
-    schedule(record);
+    if (!record.running.empty()) {
+        record.mayHaveRun = true;
+        if (!record.isStream())
+            meter(record, record.running.front().startedAt);
+    }
+    stopAll(record, EndpointVerdict::Failed, now);
+    if (!record.mayHaveRun)
+        refuse(record, ErrorKind::Overloaded, std::nullopt, "deadline");
+    else
+        refuse(record, ErrorKind::DeadlineExceeded, std::nullopt, "deadline");
 }
 
-void ServingCore::cancelRunning(RequestRecord &record, EndpointVerdict verdict, Instant now)
+void ServingCore::moveFromSilent(Instant now)
 {
-    for (const RunningAttempt &attempt : record.running) {
-        m_context.placer->ended(attempt.number, verdict, now);
-        m_context.traffic.cancel(record.arrival.number, attempt.number);
+    const std::vector<EndpointId> silent = m_context.watch.takeSilent(now);
+    if (silent.empty())
+        return;
+    for (const EndpointId &endpoint : silent) {
+        m_context.log.write(LogLevel::Warning, "endpoint-silent", {},
+                            {{"endpoint", endpoint.view()}});
     }
-    record.running.clear();
+    std::vector<RequestNumber> affected;
+    for (const auto &[number, record] : m_requests) {
+        const bool runsThere = std::ranges::any_of(record.running, [&](const auto &attempt) {
+            return std::ranges::find(silent, attempt.endpoint) != silent.end();
+        });
+        if (runsThere && record.isStream() && record.isIdempotent())
+            affected.push_back(number);
+    }
+    for (const RequestNumber number : affected) {
+        RequestRecord &record = m_requests.at(number);
+        record.mayHaveRun = true;
+        ++record.breaks;
+        // Without another attempt the endpoint may still come back.
+        if (!mayTryAgain(record, now) || !m_context.repeats.take(record.service->name, now))
+            continue;
+        ++record.repeats;
+        for (const RunningAttempt &attempt : record.running)
+            record.avoided.insert(attempt.endpoint);
+        stopAll(record, EndpointVerdict::Failed, now);
+        start(record, now);
+    }
+}
+
+void ServingCore::stop(RequestRecord &record, const RunningAttempt &attempt,
+                       EndpointVerdict verdict, Instant now)
+{
+    m_context.watch.ended(attempt.number, verdict, now);
+    m_context.placerFor(*record.service).ended(attempt.number, now);
+    m_context.traffic.cancel(record.arrival.number, attempt.number);
+}
+
+void ServingCore::stopAll(RequestRecord &record, EndpointVerdict verdict, Instant now)
+{
+    for (const RunningAttempt &attempt : std::exchange(record.running, {}))
+        stop(record, attempt, verdict, now);
+}
+
+void ServingCore::meter(RequestRecord &record, Instant at)
+{
+    if (record.account != nullptr && !std::exchange(record.isMetered, true))
+        m_context.meter.began(record.account->name, at);
 }
 
 void ServingCore::schedule(RequestRecord &record)
 {
-    const Instant next = std::min({record.answerBy, record.hedgeAt, record.recheckAt});
+    const Instant next = std::min(record.answerBy, record.hedgeAt);
     m_deadlines.move(record.arrival.number, record.dueAt, next);
     record.dueAt = next;
 }
 
-void ServingCore::erase(RequestNumber request)
+void ServingCore::erase(RequestRecord &record)
 {
-    const auto entry = m_requests.find(request);
-    m_deadlines.remove(request, entry->second.dueAt);
-    m_requests.erase(entry);
+    const RequestNumber number = record.arrival.number;
+    m_deadlines.remove(number, record.dueAt);
+    m_requests.erase(number);
 }
 
 } // namespace monsoonsail
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "servers/allowance/allowance_ledger.h"
 #include "servers/retry/repeat_budget.h"
 
 namespace monsoonsail {
@@ -9,8 +10,12 @@
 struct ServingLimits
 {
     RepeatLimit repeats;
+    AllowanceTolerance allowances;
     /// Age of the configuration beyond which it may no longer be the newest one.
     Duration configurationAge = std::chrono::milliseconds(2000);
+    Duration usageWindow = std::chrono::seconds(5);  ///< Length of a metering window.
+    Duration usageDue = std::chrono::seconds(10);    ///< From its end until its report is due.
+    Duration dutyLease = std::chrono::milliseconds(3000);
 };
 
 } // namespace monsoonsail
--- a/servers/site/configuration_feed.cpp
+++ b/servers/site/configuration_feed.cpp
@@ -4,7 +4,7 @@
 
 namespace monsoonsail {
 
-void ConfigurationFeed::changed(const LogRecord &record, Instant /*now*/)
+void ConfigurationFeed::changed(const LogRecord &record, Instant now)
 {
     if (record.key != m_codec.configurationKey())
         return;
@@ -16,7 +16,7 @@
                              {"reason", fault}});
         return;
     }
-    offer(std::move(configuration), "store");
+    offer(std::move(configuration), "store", now);
 }
 
 void ConfigurationFeed::current(Instant asOf, Instant /*now*/)
@@ -25,7 +25,7 @@
 }
 
 void ConfigurationFeed::offer(std::shared_ptr<const SiteConfiguration> configuration,
-                              std::string_view source)
+                              std::string_view source, Instant now)
 {
     if (m_context.configuration && m_context.configuration->revision() >= configuration->revision())
         return;
@@ -36,6 +36,7 @@
              {"accounts", static_cast<std::int64_t>(configuration->accounts().size())},
              {"source", source}});
     m_context.configuration = std::move(configuration);
+    m_context.allowances.configure(m_context.configuration->accounts(), now);
     m_context.traffic.apply(m_context.configuration->limits());
 }
 
--- a/servers/site/configuration_feed.h
+++ b/servers/site/configuration_feed.h
@@ -21,7 +21,8 @@
     void interrupted(std::error_code /*error*/, Instant /*now*/) override { }
 
     /// Puts a configuration in force unless it is older than the one that is.
-    void offer(std::shared_ptr<const SiteConfiguration> configuration, std::string_view source);
+    void offer(std::shared_ptr<const SiteConfiguration> configuration, std::string_view source,
+               Instant now);
 
 private:
     ServingContext &m_context;
