Order engines by plan and count allowances over sliding windows

Change: the holder of the duties measures the engines' work from digests and plans reclaimable engines evenly over the zones, engines on demand only where too few are ready; numbers follow up at once and down after a while. Allowances are counted over a sliding window, as the platform states them; a process that has just started assumes earlier use.

Ruled out: a larger token bucket, whose burst would have to hold the whole tolerance at once.

--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -33,6 +33,9 @@
     json uses = json::array();
     for (const Digest::AccountUse &use : digest.uses)
         uses.push_back({use.account.value(), use.asked, use.admitted});
+    json work = json::array();
+    for (const Digest::ServiceWork &item : digest.work)
+        work.push_back({item.service.value(), item.promptTokens, item.outputTokens});
     json counts = json::array();
     for (const Digest::UsageCount &count : digest.counts)
         counts.push_back({count.window, count.account.value(), count.requests});
@@ -50,7 +53,8 @@
                         uses,
                         counts,
                         names(digest.leaving),
-                        digest.neighbours};
+                        digest.neighbours,
+                        work};
     std::string bytes;
     json::to_msgpack(document, nlohmann::detail::output_adapter<char>(bytes));
     return bytes;
@@ -91,6 +95,11 @@
         for (const json &endpoint : document.at(13))
             digest.leaving.emplace_back(endpoint.get<std::string>());
         digest.neighbours = document.at(14).get<std::vector<std::string>>();
+        for (const json &item : document.at(15)) {
+            digest.work.push_back({.service = ServiceId(item.at(0).get<std::string>()),
+                                   .promptTokens = item.at(1).get<double>(),
+                                   .outputTokens = item.at(2).get<double>()});
+        }
         return digest;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double maxSeconds = 3600;
+constexpr std::int64_t maxEngines = 1000;
 constexpr double maxMs = 3'600'000;
 constexpr double maxRequests = 1e9;
 
@@ -60,13 +61,21 @@
                                    .window = seconds(table.number("window_s", 0, maxSeconds))};
     });
     reader.optionalTable("allowances", [&settings](TableReader &table) {
-        settings.limits.allowances = {.excess = table.number("excess", 0, 1),
+        settings.limits.allowances = {.window = seconds(table.number("window_s", 0.1, maxSeconds)),
+                                      .excess = table.number("excess", 0, 1),
                                       .slack = table.number("slack", 0, maxRequests)};
     });
     reader.optionalTable("usage", [&settings](TableReader &table) {
         settings.limits.usageWindow = seconds(table.number("window_s", 0.1, maxSeconds));
         settings.limits.usageDue = seconds(table.number("due_s", 0, maxSeconds));
     });
+    reader.optionalTable("fleet", [&settings](TableReader &table) {
+        FleetPolicy &fleet = settings.fleet;
+        fleet.targetUse = table.number("target_use", 0.01, 1, fleet.targetUse);
+        fleet.leastUse = table.number("least_use", 0.01, 1, fleet.leastUse);
+        fleet.leastReclaimable = static_cast<unsigned>(
+                table.integer("least_reclaimable", 0, maxEngines, fleet.leastReclaimable));
+    });
     settings.limits.dutyLease = seconds(reader.number("duty_lease_ms", 0, maxMs, 3000) / 1000);
     reader.finish();
     return settings;
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -1,6 +1,9 @@
 #include "main/monsoonsaild/control_plane.h"
 
+#include "servers/fleet/spread_fleet_planner.h"
+
 #include <algorithm>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -65,6 +68,8 @@
     , m_usage(incarnation, {.settle = usageSettle, .due = settings.limits.usageDue}, m_context.meter,
               m_store, m_duties, [this] { return m_loop.now(); }, [this] { m_keeper.fenced(); },
               m_log)
+    , m_fleet(std::make_unique<SpreadFleetPlanner>(settings.fleet), m_context.endpoints, m_duties,
+              [this] { return m_loop.now(); }, [this] { m_keeper.fenced(); }, m_log)
 { }
 
 ControlPlane::~ControlPlane()
@@ -116,7 +121,7 @@
     m_settings = settings;
     m_context.limits = settings.limits;
     m_context.repeats.setLimit(settings.limits.repeats);
-    m_context.allowances.setTolerance(settings.limits.allowances);
+    m_context.allowances.setRules(settings.limits.allowances);
     if (m_context.configuration)
         m_context.allowances.configure(m_context.configuration->accounts(), m_loop.now());
     m_store.setAddress(settings.storeAddress);
@@ -192,6 +197,11 @@
     m_presence.advance();
     m_keeper.advance(m_mesh);
     m_usage.advance(m_keeper.fencingNumber());
+    m_context.work.measure(now);
+    if (m_context.configuration) {
+        m_fleet.advance(m_keeper.fencingNumber(), *m_context.configuration,
+                        m_context.work.enginesBusy());
+    }
     m_log.reportDropped();
     m_logs.flush();
     checkStop();
@@ -212,6 +222,7 @@
                   .fencingNumber = m_keeper.fencingNumber(),
                   .loads = m_context.enginePlacer->loads(now),
                   .uses = m_context.allowances.uses(),
+                  .work = m_context.work.work(),
                   .counts = m_context.meter.recent(),
                   .leaving = m_context.endpoints.leavingSince(now - leavingMemory),
                   .neighbours = m_mesh.liveAddresses(now)};
@@ -228,6 +239,7 @@
         return;
     m_context.allowances.peerReported(*peer, now);
     m_context.meter.peerReported(*peer);
+    m_context.work.peerReported(*peer);
     m_context.enginePlacer->peerReported(*peer, now);
     m_context.servicePlacer->peerReported(*peer, now);
     for (const EndpointId &endpoint : digest.leaving)
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -12,6 +12,7 @@
 #include "servers/duties/duty_keeper.h"
 #include "servers/duties/usage_reporter.h"
 #include "servers/endpoints/endpoint_feed.h"
+#include "servers/fleet/fleet_manager.h"
 #include "servers/mesh/mesh.h"
 #include "servers/mesh/presence.h"
 #include "servers/ports/traffic_listener.h"
@@ -78,6 +79,7 @@
     platform::DutyClient m_duties;
     DutyKeeper m_keeper;
     UsageReporter m_usage;
+    FleetManager m_fleet;
     std::optional<LocalServer> m_readyServer;
     TimerQueue::Handle m_timer;
     TimerQueue::Handle m_tickTimer;
--- a/servers/allowance/allowance_ledger.cpp
+++ b/servers/allowance/allowance_ledger.cpp
@@ -7,110 +7,136 @@
 
 namespace {
 
-/// A bucket with less than this many seconds of its rate is handed out by parts: until the next
-/// digests, every instance could otherwise hand out all of it.
-constexpr double scarceSeconds = 0.5;
-/// Part of its own inflow that an instance may save up, in seconds of the rate.
-constexpr double shareSeconds = 0.5;
-/// Time constant with which the demand of the past is forgotten.
-constexpr double demandSeconds = 2.0;
-/// A process that has just started does not know what was let through before.
-constexpr double firstLevelPart = 0.5;
 /// Part of the tolerance that is handed out. Instances learn late of each other's use, so a request
 /// is refused only if it is beyond the allowance for certain; the rest of the tolerance takes up
 /// what several instances let through at once.
 constexpr double usedTolerance = 0.5;
-/// Shortest time after which a refused request is worth another try.
+/// Time until every other instance has heard of what was let through here.
+constexpr Duration hearing = std::chrono::milliseconds(400);
+/// Requests reach their endpoints a little later than they are let through.
+constexpr Duration windowReserve = std::chrono::milliseconds(200);
+/// Time constant with which the demand of the past is forgotten.
+constexpr double demandSeconds = 2.0;
+/// Part of the limit that a process assumes to have been used before its start. Accounts use about
+/// half of their allowances as a rule.
+constexpr double usedBeforeStart = 0.8;
+/// Steps in which that is forgotten again.
+constexpr int startSteps = 16;
+/// A peer's digests count from its start while it is this young; later its earlier use is over.
+constexpr std::uint64_t youngDigests = 24;
+/// Shortest and longest time after which a refused request is told to come back.
 constexpr Duration leastRetry = std::chrono::milliseconds(200);
-constexpr double mostRetrySeconds = 5;
+constexpr Duration mostRetry = std::chrono::seconds(5);
 
 double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration fromSeconds(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace
 
+AllowanceLedger::Entry::Entry(Duration window, Instant now)
+    : used(window + windowReserve)
+    , usedHere(hearing)
+    , decayedAt(now)
+{ }
+
+AllowanceLedger::AllowanceLedger(const AllowanceRules &rules, std::uint64_t seed)
+    : m_rules(rules)
+    , m_random(seed)
+{ }
+
 void AllowanceLedger::configure(const std::vector<Account> &accounts, Instant now)
 {
     for (const Account &account : accounts) {
-        const auto [entry, isNew] = m_buckets.try_emplace(account.name);
-        Bucket &bucket = entry->second;
+        const auto [position, isNew] =
+                m_entries.try_emplace(account.name, m_rules.window, now);
+        Entry &entry = position->second;
+        const Allowance &allowance = account.allowance;
+        entry.allowance = allowance;
+        const double bare = allowance.perSecond * toSeconds(m_rules.window) + allowance.burst;
+        entry.limit = allowance.perSecond > 0 ? bare * (1 + usedTolerance * m_rules.excess)
+                        + usedTolerance * m_rules.slack
+                                              : 0;
         if (!isNew)
-            fill(bucket, now);
-        bucket.allowance = tolerated(account.allowance);
-        if (isNew) {
-            bucket.level = bucket.allowance.burst * firstLevelPart;
-            bucket.filledAt = now;
+            continue;
+        for (int step = startSteps; step > 0; --step) {
+            entry.used.add(entry.limit * usedBeforeStart / startSteps,
+                           now - m_rules.window * step / startSteps);
         }
-        bucket.level = std::min(bucket.level, bucket.allowance.burst);
     }
 }
 
 std::optional<Instant> AllowanceLedger::admit(const AccountId &account, double amount, Instant now)
 {
-    const auto entry = m_buckets.find(account);
-    if (entry == m_buckets.end())
-        return std::nullopt;
-    Bucket &bucket = entry->second;
-    fill(bucket, now);
-    bucket.asked += amount;
-    bucket.recentAsked += amount;
-    const double rate = bucket.allowance.perSecond;
-    if (rate <= 0) {
-        bucket.admitted += amount;
+    const auto position = m_entries.find(account);
+    if (position == m_entries.end())
         return std::nullopt;
+    Entry &entry = position->second;
+    advance(entry, now);
+    entry.asked += amount;
+    entry.recentAsked += amount;
+    if (entry.limit > 0) {
+        // A request that is larger than the limit goes through when nothing else has been used.
+        const double counted = std::min(amount, entry.limit);
+        const double left = entry.limit - entry.used.sum();
+        if (counted > left || !isWithinPart(entry, left, counted)) {
+            const Instant free = entry.used.fallsTo(entry.limit - counted, now);
+            return std::clamp(free, now + leastRetry, now + mostRetry);
+        }
     }
-    const bool isScarce = bucket.level < rate * scarceSeconds;
-    // A request that is larger than the bucket goes through when the bucket is full.
-    const double needed = std::min(amount, bucket.allowance.burst);
-    const double missing = std::max(needed - bucket.level, 0.0);
-    const double missingShare =
-            isScarce ? std::max(std::min(amount, rate * shareSeconds / m_instances) - bucket.share, 0.0)
-                     : 0;
-    if (missing > 0 || missingShare > 0) {
-        const double seconds = std::max(missing, missingShare * m_instances) / rate;
-        return now + std::max(leastRetry, fromSeconds(std::min(seconds, mostRetrySeconds)));
-    }
-    bucket.level -= amount;
-    bucket.share -= amount;
-    bucket.admitted += amount;
+    entry.used.add(amount, now);
+    entry.usedHere.add(amount, now);
+    entry.admitted += amount;
     return std::nullopt;
 }
 
-void AllowanceLedger::refund(const AccountId &account, double amount)
+bool AllowanceLedger::isWithinPart(const Entry &entry, double left, double amount)
+{
+    const double asked = entry.recentAsked + entry.recentPeerAsked;
+    // What the others let through before they hear of this request can't be more than is asked.
+    if (left > asked / demandSeconds * toSeconds(hearing))
+        return true;
+    const double equalPart = 1.0 / m_instances;
+    const double part = asked > 0 ? std::max(entry.recentAsked / asked, equalPart / 2) : equalPart;
+    const double mayUse = part * (left + entry.usedHere.sum()) - entry.usedHere.sum();
+    // Large requests get through by chance, as often as their size allows; otherwise small ones
+    // would use up every part.
+    return amount <= mayUse || m_random.unit() * amount < mayUse;
+}
+
+void AllowanceLedger::refund(const AccountId &account, double amount, Instant now)
 {
-    const auto entry = m_buckets.find(account);
-    if (entry == m_buckets.end())
+    const auto position = m_entries.find(account);
+    if (position == m_entries.end())
         return;
-    Bucket &bucket = entry->second;
-    bucket.admitted -= amount;
-    bucket.level = std::min(bucket.level + amount, bucket.allowance.burst);
-    bucket.share += amount;
+    Entry &entry = position->second;
+    entry.admitted -= amount;
+    entry.used.add(-amount, now);
+    entry.usedHere.add(-amount, now);
 }
 
 void AllowanceLedger::peerReported(const Peer &peer, Instant now)
 {
     for (const Digest::AccountUse &use : peer.digest.uses) {
-        const auto entry = m_buckets.find(use.account);
-        if (entry == m_buckets.end())
+        const auto position = m_entries.find(use.account);
+        if (position == m_entries.end())
             continue;
-        Bucket &bucket = entry->second;
-        fill(bucket, now);
-        PeerUse &known = bucket.peers[peer.digest.instance];
-        if (known.incarnation != peer.digest.incarnation)
-            known = {.incarnation = peer.digest.incarnation, .reserved = known.reserved};
-        const double admitted = use.admitted - known.admitted;
-        bucket.level = std::min(bucket.level - admitted + known.reserved, bucket.allowance.burst);
-        bucket.recentPeerAsked += std::max(use.asked - known.asked, 0.0);
-        known.asked = use.asked;
-        known.admitted = use.admitted;
-        known.reserved = 0;
+        Entry &entry = position->second;
+        advance(entry, now);
+        const auto [known, isNew] = entry.peers.try_emplace(peer.digest.instance);
+        PeerUse &peerUse = known->second;
+        if (peerUse.incarnation != peer.digest.incarnation) {
+            const bool isYoung = peer.digest.sequence < youngDigests;
+            peerUse.incarnation = peer.digest.incarnation;
+            peerUse.asked = isYoung ? 0 : use.asked;
+            peerUse.admitted = isYoung ? 0 : use.admitted;
+        }
+        entry.used.add(use.admitted - peerUse.admitted - peerUse.reserved, now);
+        entry.recentPeerAsked += std::max(use.asked - peerUse.asked, 0.0);
+        peerUse.asked = use.asked;
+        peerUse.admitted = use.admitted;
+        peerUse.reserved = 0;
     }
 }
 
@@ -122,11 +148,11 @@
     for (const auto &[name, peer] : mesh.peers()) {
         if (Mesh::isLive(peer, now))
             continue;
-        for (auto &[account, bucket] : m_buckets) {
-            fill(bucket, now);
-            const double amount = bucket.allowance.perSecond * seconds / m_instances;
-            bucket.peers[name].reserved += amount;
-            bucket.level -= amount;
+        for (auto &[account, entry] : m_entries) {
+            const double amount =
+                    entry.limit / toSeconds(m_rules.window) * seconds / m_instances;
+            entry.peers[name].reserved += amount;
+            entry.used.add(amount, now);
         }
     }
 }
@@ -134,41 +160,24 @@
 std::vector<Digest::AccountUse> AllowanceLedger::uses() const
 {
     std::vector<Digest::AccountUse> uses;
-    for (const auto &[account, bucket] : m_buckets) {
-        if (bucket.asked > 0) {
-            uses.push_back(
-                    {.account = account, .asked = bucket.asked, .admitted = bucket.admitted});
-        }
+    for (const auto &[account, entry] : m_entries) {
+        if (entry.asked > 0)
+            uses.push_back({.account = account, .asked = entry.asked, .admitted = entry.admitted});
     }
     return uses;
 }
 
-Allowance AllowanceLedger::tolerated(const Allowance &allowance) const
+void AllowanceLedger::advance(Entry &entry, Instant now) const
 {
-    Allowance result = allowance;
-    const double factor = 1 + usedTolerance * m_tolerance.excess;
-    result.perSecond *= factor;
-    result.burst = result.burst * factor + usedTolerance * m_tolerance.slack;
-    return result;
-}
-
-void AllowanceLedger::fill(Bucket &bucket, Instant now) const
-{
-    const double seconds = toSeconds(now - bucket.filledAt);
+    entry.used.advance(now);
+    entry.usedHere.advance(now);
+    const double seconds = toSeconds(now - entry.decayedAt);
     if (seconds <= 0)
         return;
-    bucket.filledAt = now;
-    const double rate = bucket.allowance.perSecond;
-    bucket.level = std::min(bucket.level + rate * seconds, bucket.allowance.burst);
-    const double asked = bucket.recentAsked + bucket.recentPeerAsked;
-    // Without demand, or against a peer that has told nothing yet, every instance has an equal
-    // part.
-    const double equalPart = 1.0 / m_instances;
-    const double part = asked > 0 ? std::max(bucket.recentAsked / asked, equalPart / 4) : equalPart;
-    bucket.share = std::min(bucket.share + rate * seconds * part, rate * shareSeconds * part);
+    entry.decayedAt = now;
     const double kept = std::exp(-seconds / demandSeconds);
-    bucket.recentAsked *= kept;
-    bucket.recentPeerAsked *= kept;
+    entry.recentAsked *= kept;
+    entry.recentPeerAsked *= kept;
 }
 
 } // namespace monsoonsail
--- a/servers/allowance/allowance_ledger.h
+++ b/servers/allowance/allowance_ledger.h
@@ -2,6 +2,8 @@
 
 #include "core/identifiers.h"
 #include "core/instant.h"
+#include "core/random_source.h"
+#include "servers/allowance/sliding_sum.h"
 #include "servers/mesh/digest.h"
 #include "servers/mesh/mesh.h"
 #include "servers/site/account.h"
@@ -14,38 +16,38 @@
 
 namespace monsoonsail {
 
-/// By how much the accounts' use may exceed their allowances, over all entry instances together.
-struct AllowanceTolerance
+/// How allowances are counted, over all entry instances together.
+struct AllowanceRules
 {
-    double excess = 0; ///< Part of the allowance.
-    double slack = 0;  ///< Amount, in the allowance's unit.
+    /// Within any span of this length an account may use its rate times the span, and its burst.
+    Duration window = std::chrono::seconds(8);
+    /// By how much the use may exceed that, as a part of it and as an amount in its unit.
+    double excess = 0;
+    double slack = 0;
 };
 
 /// Keeps every client account within its allowance over all entry instances together, without a
 /// message on the path of a request.
 ///
-/// Every instance keeps the same token bucket and learns from digests what the others have let
-/// through. While a bucket is nearly empty each instance hands out only its part of what flows in,
-/// by how much is asked of it.
+/// Every instance adds up what it has let through and, from digests, what the others have. Where
+/// little is left, each instance lets through only its part of that, by how much is asked of it.
 class AllowanceLedger
 {
 public:
-    explicit AllowanceLedger(const AllowanceTolerance &tolerance)
-        : m_tolerance(tolerance)
-    { }
+    AllowanceLedger(const AllowanceRules &rules, std::uint64_t seed);
 
     /// Takes effect with the next configure().
-    void setTolerance(const AllowanceTolerance &tolerance) { m_tolerance = tolerance; }
+    void setRules(const AllowanceRules &rules) { m_rules = rules; }
     /// Takes over the allowances of a configuration.
     void configure(const std::vector<Account> &accounts, Instant now);
     /// Lets a request of this size through and counts it, or returns when a later try makes sense.
     std::optional<Instant> admit(const AccountId &account, double amount, Instant now);
     /// Takes back what a request was counted with that did not run.
-    void refund(const AccountId &account, double amount);
+    void refund(const AccountId &account, double amount, Instant now);
 
     /// Takes over what a peer has counted.
     void peerReported(const Peer &peer, Instant now);
-    /// Reserves their share for peers that are silent but may still be serving.
+    /// Reserves their part for peers that are silent but may still be serving. Called often.
     void reserve(const Mesh &mesh, Instant now);
     /// Returns the counts of this instance for its digest.
     std::vector<Digest::AccountUse> uses() const;
@@ -56,27 +58,30 @@
         std::string incarnation;
         double asked = 0;
         double admitted = 0;
-        double reserved = 0; ///< Taken from the bucket since the last digest.
+        double reserved = 0; ///< Counted on its behalf since its last digest.
     };
-    struct Bucket
+    struct Entry
     {
+        Entry(Duration window, Instant now);
+
         Allowance allowance;
-        double level = 0;
-        double share = 0; ///< Own part of a bucket that is nearly empty.
-        Instant filledAt;
-        double asked = 0;
+        double limit = 0;    ///< Within any window; 0 for none.
+        SlidingSum used;     ///< By all instances.
+        SlidingSum usedHere; ///< By this instance since the others may have heard of it.
+        double asked = 0;    ///< Since the start.
         double admitted = 0;
-        double recentAsked = 0; ///< Decays over seconds.
+        double recentAsked = 0; ///< Decay over seconds.
         double recentPeerAsked = 0;
+        Instant decayedAt;
         std::map<std::string, PeerUse> peers;
     };
 
-    void fill(Bucket &bucket, Instant now) const;
-
-    Allowance tolerated(const Allowance &allowance) const;
+    void advance(Entry &entry, Instant now) const;
+    bool isWithinPart(const Entry &entry, double left, double amount);
 
-    AllowanceTolerance m_tolerance;
-    std::map<AccountId, Bucket> m_buckets;
+    AllowanceRules m_rules;
+    RandomSource m_random;
+    std::map<AccountId, Entry> m_entries;
     unsigned m_instances = 1;
     Instant m_reservedAt;
 };
--- /dev/null
+++ b/servers/allowance/sliding_sum.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/instant.h"
+
+#include <deque>
+#include <optional>
+
+namespace monsoonsail {
+
+/// Sum of amounts over the last span of a fixed length.
+class SlidingSum
+{
+public:
+    explicit SlidingSum(Duration span)
+        : m_span(span)
+    { }
+
+    void add(double amount, Instant now);
+    /// Drops what is older than the span.
+    void advance(Instant now);
+    double sum() const { return m_sum; }
+    /// Returns when the sum will have fallen to `target` if nothing is added.
+    Instant fallsTo(double target, Instant now) const;
+
+private:
+    struct Slice
+    {
+        Instant begin;
+        double amount = 0;
+    };
+
+    Duration m_span;
+    std::deque<Slice> m_slices;
+    double m_sum = 0;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/fleet/fleet_manager.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/instant.h"
+#include "servers/endpoints/endpoint_registry.h"
+#include "servers/fleet/fleet_planner.h"
+#include "servers/ports/decision_log.h"
+#include "servers/ports/duty_port.h"
+#include "servers/site/site_configuration.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace monsoonsail {
+
+/// Orders engines as planned, as long as this instance holds the duties.
+class FleetManager
+{
+public:
+    /// References must outlive the manager.
+    FleetManager(std::unique_ptr<FleetPlanner> planner, const EndpointRegistry &endpoints,
+                 DutyPort &duties, std::function<Instant()> now, std::function<void()> onFenced,
+                 DecisionLog &decisions);
+
+    /// Called often. `enginesBusy` tells the load of each service in engines.
+    void advance(std::uint64_t fencingNumber, const SiteConfiguration &configuration,
+                 const std::map<ServiceId, double> &enginesBusy);
+
+private:
+    struct Order
+    {
+        unsigned count = 0;
+        Instant sentAt;
+        Instant repeatAt; ///< Sent again then if the engines are not there.
+        bool isUnderWay = false;
+        bool isRefused = false;
+        bool isUncertain = false; ///< No answer came; it may have been carried out or not.
+    };
+    /// A number of engines that follows the plan up at once and down after a while.
+    struct Target
+    {
+        unsigned count = 0;
+        Instant lowerSince = Instant::max(); ///< Since when the plan has asked for less.
+    };
+    using OrderKey = std::pair<ServiceId, FleetSlot>;
+
+    void manage(const Service &service, double enginesBusy);
+    FleetPlan ready(const ServiceId &service) const;
+    FleetPlan steady(const ServiceId &service, const FleetPlan &plan);
+    bool mayGiveBack(const FleetSlot &slot, const FleetPlan &targets, const FleetPlan &ready) const;
+    void order(const OrderKey &key, unsigned count, const ScalingLimits &limits);
+    void handleAnswer(const OrderKey &key, DutyOutcome outcome);
+
+    const std::unique_ptr<FleetPlanner> m_planner;
+    const EndpointRegistry &m_endpoints;
+    DutyPort &m_duties;
+    const std::function<Instant()> m_now;
+    const std::function<void()> m_onFenced;
+    DecisionLog &m_decisions;
+    std::uint64_t m_fencingNumber = 0;
+    std::map<OrderKey, Order> m_orders;
+    std::map<OrderKey, Target> m_targets;
+    Instant m_nextAt;
+};
+
+} // namespace monsoonsail
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -29,6 +29,13 @@
         double asked = 0;    ///< By requests that arrived.
         double admitted = 0; ///< By requests that were let through.
     };
+    /// Work that the sender has given to the engines of a service.
+    struct ServiceWork
+    {
+        ServiceId service;
+        double promptTokens = 0; ///< To be read, as far as is known.
+        double outputTokens = 0;
+    };
     /// Requests of a client account that began to run within a metering window.
     struct UsageCount
     {
@@ -48,6 +55,7 @@
     std::uint64_t fencingNumber = 0; ///< Set while the sender holds the duties.
     std::vector<EndpointLoad> loads;
     std::vector<AccountUse> uses;
+    std::vector<ServiceWork> work;
     std::vector<UsageCount> counts;
     std::vector<EndpointId> leaving;      ///< Endpoints that are known to leave.
     std::vector<std::string> neighbours;  ///< Addresses of the entry instances that it hears.
--- a/servers/placement/engine_placer.cpp
+++ b/servers/placement/engine_placer.cpp
@@ -79,8 +79,9 @@
 
 } // namespace
 
-EnginePlacer::EnginePlacer(const EndpointWatch &watch, std::uint64_t seed)
+EnginePlacer::EnginePlacer(const EndpointWatch &watch, WorkMeter &work, std::uint64_t seed)
     : m_watch(watch)
+    , m_work(work)
     , m_random(seed)
     , m_tokensPerMs(firstTokensPerMs)
 { }
@@ -154,6 +155,7 @@
     const EndpointId &engine = placement.endpoint;
     Load &load = m_loads[engine];
     m_runs[attempt] = {.engine = engine,
+                       .service = request.service->name,
                        .uncachedTokens = placement.uncachedTokens,
                        .contextTokens = request.promptTokens,
                        .tokensPerEvent = request.service->engine->tokensPerEvent,
@@ -162,6 +164,7 @@
     ++load.running;
     load.promptTokens += placement.uncachedTokens;
     load.contextTokens += request.promptTokens;
+    m_work.placed(request.service->name, placement.uncachedTokens);
     m_cached.used(engine, sharedPrefixes(request.parts), now);
     if (now >= m_expiredAt + expiryInterval) {
         m_expiredAt = now;
@@ -181,6 +184,7 @@
         load.promptTokens -= std::exchange(run.uncachedTokens, 0);
     }
     const std::uint32_t tokens = events * run.tokensPerEvent;
+    m_work.produced(run.service, tokens);
     run.contextTokens += tokens;
     load.contextTokens += tokens;
 }
--- a/servers/placement/engine_placer.h
+++ b/servers/placement/engine_placer.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "servers/endpoints/endpoint_watch.h"
+#include "servers/fleet/work_meter.h"
 #include "servers/placement/peer_loads.h"
 #include "servers/placement/placer.h"
 #include "servers/placement/prompt_cache_map.h"
@@ -16,8 +17,8 @@
 class EnginePlacer : public Placer
 {
 public:
-    /// `watch` must outlive the placer.
-    EnginePlacer(const EndpointWatch &watch, std::uint64_t seed);
+    /// `watch` and `work` must outlive the placer.
+    EnginePlacer(const EndpointWatch &watch, WorkMeter &work, std::uint64_t seed);
 
     std::optional<Placement> place(const PlacementRequest &request,
                                    std::span<const Endpoint *const> candidates,
@@ -34,6 +35,7 @@
     struct Run
     {
         EndpointId engine;
+        ServiceId service;
         std::uint32_t uncachedTokens = 0; ///< 0 once it has started.
         std::uint32_t contextTokens = 0;
         std::uint32_t tokensPerEvent = 1;
@@ -60,6 +62,7 @@
     void learnSpeed(const Run &run, Instant now);
 
     const EndpointWatch &m_watch;
+    WorkMeter &m_work;
     RandomSource m_random;
     PeerLoads m_peers;
     PromptCacheMap m_cached;
--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -12,6 +12,7 @@
 // Random choices in different places must not follow each other.
 constexpr std::uint64_t engineSeed = 1;
 constexpr std::uint64_t serviceSeed = 2;
+constexpr std::uint64_t allowanceSeed = 3;
 } // namespace
 
 ServingContext::ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
@@ -22,11 +23,11 @@
     , traffic(trafficPort)
     , log(decisionLog)
     , random(stableHash(incarnation))
-    , enginePlacer(std::make_unique<EnginePlacer>(watch, stableHash(incarnation, engineSeed)))
+    , enginePlacer(std::make_unique<EnginePlacer>(watch, work, stableHash(incarnation, engineSeed)))
     , servicePlacer(
               std::make_unique<ServicePlacer>(zone, watch, stableHash(incarnation, serviceSeed)))
     , repeats(limits.repeats)
-    , allowances(limits.allowances)
+    , allowances(limits.allowances, stableHash(incarnation, allowanceSeed))
     , meter(incarnation, limits.usageWindow)
 { }
 
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -6,6 +6,7 @@
 #include "servers/allowance/allowance_ledger.h"
 #include "servers/endpoints/endpoint_registry.h"
 #include "servers/endpoints/endpoint_watch.h"
+#include "servers/fleet/work_meter.h"
 #include "servers/metering/usage_meter.h"
 #include "servers/placement/placer.h"
 #include "servers/ports/decision_log.h"
@@ -46,6 +47,7 @@
     RandomSource random;
     EndpointRegistry endpoints;
     EndpointWatch watch;
+    WorkMeter work;
     std::unique_ptr<Placer> enginePlacer;
     std::unique_ptr<Placer> servicePlacer;
     RepeatBudget repeats;
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -62,7 +62,7 @@
     record.lastEvent = arrival.resumeAfter;
     const AdmissionVerdict verdict = admitRequest(record, m_context, now);
     if (verdict.error != ErrorKind::None) {
-        refuse(record, verdict.error, verdict.retryAt, "not admitted");
+        refuse(record, verdict.error, verdict.retryAt, "not admitted", now);
         return;
     }
     m_context.repeats.arrived(record.service->name, now);
@@ -295,19 +295,19 @@
         return;
     }
     if (record.isStreaming) {
-        refuse(record, ErrorKind::AnswerInterrupted, std::nullopt, cause);
+        refuse(record, ErrorKind::AnswerInterrupted, std::nullopt, cause, now);
         return;
     }
     if (record.mayHaveRun) {
-        refuse(record, ErrorKind::EndpointFailed, std::nullopt, cause);
+        refuse(record, ErrorKind::EndpointFailed, std::nullopt, cause, now);
         return;
     }
     const Duration pause = ifNotRun == ErrorKind::NoEndpoint ? noEndpointRetry : overloadedRetry;
-    refuse(record, ifNotRun, now + pause, cause);
+    refuse(record, ifNotRun, now + pause, cause, now);
 }
 
 void ServingCore::refuse(RequestRecord &record, ErrorKind kind, std::optional<Instant> retryAt,
-                         std::string_view cause)
+                         std::string_view cause, Instant now)
 {
     const ErrorAnswer &answer = errorAnswer(kind);
     m_context.log.write(
@@ -318,7 +318,7 @@
                                                    : std::string_view()},
              {"revision", toLog(record.configuration ? record.configuration->revision() : 0)}});
     if (!record.mayHaveRun && record.account != nullptr)
-        m_context.allowances.refund(record.account->name, record.charge);
+        m_context.allowances.refund(record.account->name, record.charge, now);
     m_context.traffic.refuse({.request = record.arrival.number, .kind = kind, .retryAt = retryAt});
     erase(record);
 }
@@ -345,9 +345,9 @@
     }
     stopAll(record, EndpointVerdict::Failed, now);
     if (!record.mayHaveRun)
-        refuse(record, ErrorKind::Overloaded, std::nullopt, "deadline");
+        refuse(record, ErrorKind::Overloaded, std::nullopt, "deadline", now);
     else
-        refuse(record, ErrorKind::DeadlineExceeded, std::nullopt, "deadline");
+        refuse(record, ErrorKind::DeadlineExceeded, std::nullopt, "deadline", now);
 }
 
 void ServingCore::moveFromSilent(Instant now)
--- a/servers/serving/serving_core.h
+++ b/servers/serving/serving_core.h
@@ -54,7 +54,7 @@
     /// Gives the best final answer that is left to a request whose attempts have failed.
     void giveUp(RequestRecord &record, ErrorKind ifNotRun, std::string_view cause, Instant now);
     void refuse(RequestRecord &record, ErrorKind kind, std::optional<Instant> retryAt,
-                std::string_view cause);
+                std::string_view cause, Instant now);
     void expireRequest(RequestRecord &record, Instant now);
     void stop(RequestRecord &record, const RunningAttempt &attempt, EndpointVerdict verdict,
               Instant now);
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -10,7 +10,7 @@
 struct ServingLimits
 {
     RepeatLimit repeats;
-    AllowanceTolerance allowances;
+    AllowanceRules allowances;
     /// Age of the configuration beyond which it may no longer be the newest one.
     Duration configurationAge = std::chrono::milliseconds(2000);
     Duration usageWindow = std::chrono::seconds(5);  ///< Length of a metering window.
