--- a/drivers/control/control_mailbox.h
+++ b/drivers/control/control_mailbox.h
@@ -37,6 +37,10 @@
     {
         m_loop.post([this, end] { m_listener.ended(end); });
     }
+    void moved(const RunMoveEnd &end) override
+    {
+        m_loop.post([this, end] { m_listener.moved(end); });
+    }
 
 private:
     EventLoop &m_loop;
--- a/drivers/control/traffic_mailbox.h
+++ b/drivers/control/traffic_mailbox.h
@@ -23,6 +23,10 @@
     {
         m_loop.post([this, request, attempt] { m_traffic.cancel(request, attempt); });
     }
+    void move(const RunMove &move) override
+    {
+        m_loop.post([this, move] { m_traffic.move(move); });
+    }
     void refuse(const Refusal &refusal) override
     {
         m_loop.post([this, refusal] { m_traffic.refuse(refusal); });
--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -11,13 +11,45 @@
 /// Changes with every change of the layout; digests of another layout are dropped.
 constexpr int layoutVersion = 1;
 
-std::vector<std::string> names(const std::vector<EndpointId> &endpoints)
+json encodeNews(const Digest::EndpointNews &news)
 {
-    std::vector<std::string> names;
-    names.reserve(endpoints.size());
-    for (const EndpointId &endpoint : endpoints)
-        names.push_back(endpoint.value());
-    return names;
+    const EndpointListing &listing = news.listing;
+    return {listing.instance,
+            listing.startedMs,
+            listing.sequence,
+            listing.service.value(),
+            listing.address,
+            listing.zone.value(),
+            listing.slots,
+            listing.isLeaving,
+            listing.isReclaimable,
+            listing.leavesAt ? toMicroseconds(*listing.leavesAt) : std::int64_t{0},
+            toMicroseconds(listing.coldUntil),
+            static_cast<int>(news.state),
+            news.changedAgo.count(),
+            toMicroseconds(news.usableUntil)};
+}
+
+Digest::EndpointNews decodeNews(const json &row)
+{
+    Digest::EndpointNews news;
+    EndpointListing &listing = news.listing;
+    listing.instance = row.at(0).get<std::string>();
+    listing.startedMs = row.at(1).get<std::int64_t>();
+    listing.sequence = row.at(2).get<std::uint64_t>();
+    listing.service = ServiceId(row.at(3).get<std::string>());
+    listing.address = row.at(4).get<std::string>();
+    listing.zone = ZoneId(row.at(5).get<std::string>());
+    listing.slots = row.at(6).get<unsigned>();
+    listing.isLeaving = row.at(7).get<bool>();
+    listing.isReclaimable = row.at(8).get<bool>();
+    if (const auto leavesAt = row.at(9).get<std::int64_t>(); leavesAt != 0)
+        listing.leavesAt = instantFromMicroseconds(leavesAt);
+    listing.coldUntil = instantFromMicroseconds(row.at(10).get<std::int64_t>());
+    news.state = static_cast<EndpointState>(row.at(11).get<int>());
+    news.changedAgo = Duration(row.at(12).get<std::int64_t>());
+    news.usableUntil = instantFromMicroseconds(row.at(13).get<std::int64_t>());
+    return news;
 }
 
 } // namespace
@@ -33,6 +65,9 @@
     json uses = json::array();
     for (const Digest::AccountUse &use : digest.uses)
         uses.push_back({use.account.value(), use.asked, use.admitted});
+    json news = json::array();
+    for (const Digest::EndpointNews &item : digest.news)
+        news.push_back(encodeNews(item));
     json work = json::array();
     for (const Digest::ServiceWork &item : digest.work)
         work.push_back({item.service.value(), item.promptTokens, item.outputTokens});
@@ -52,9 +87,12 @@
                         loads,
                         uses,
                         counts,
-                        names(digest.leaving),
+                        news,
                         digest.neighbours,
-                        work};
+                        work,
+                        digest.configurationAge.count(),
+                        digest.endpointsAge.count(),
+                        digest.isReader};
     std::string bytes;
     json::to_msgpack(document, nlohmann::detail::output_adapter<char>(bytes));
     return bytes;
@@ -92,9 +130,12 @@
                                      .account = AccountId(count.at(1).get<std::string>()),
                                      .requests = count.at(2).get<std::uint32_t>()});
         }
-        for (const json &endpoint : document.at(13))
-            digest.leaving.emplace_back(endpoint.get<std::string>());
+        for (const json &row : document.at(13))
+            digest.news.push_back(decodeNews(row));
         digest.neighbours = document.at(14).get<std::vector<std::string>>();
+        digest.configurationAge = Duration(document.at(16).get<std::int64_t>());
+        digest.endpointsAge = Duration(document.at(17).get<std::int64_t>());
+        digest.isReader = document.at(18).get<bool>();
         for (const json &item : document.at(15)) {
             digest.work.push_back({.service = ServiceId(item.at(0).get<std::string>()),
                                    .promptTokens = item.at(1).get<double>(),
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr double maxSeconds = 3600;
-constexpr std::int64_t maxEngines = 1000;
 constexpr double maxMs = 3'600'000;
 constexpr double maxRequests = 1e9;
 
@@ -70,12 +69,12 @@
         settings.limits.usageDue = seconds(table.number("due_s", 0, maxSeconds));
     });
     reader.optionalTable("fleet", [&settings](TableReader &table) {
-        FleetPolicy &fleet = settings.fleet;
-        fleet.targetUse = table.number("target_use", 0.01, 1, fleet.targetUse);
-        fleet.leastUse = table.number("least_use", 0.01, 1, fleet.leastUse);
-        fleet.leastReclaimable = static_cast<unsigned>(
-                table.integer("least_reclaimable", 0, maxEngines, fleet.leastReclaimable));
+        FleetPolicy &fleet = settings.limits.fleet;
+        fleet.engineUse = table.number("engine_use", 0.01, 1, fleet.engineUse);
+        fleet.onDemandUse = table.number("on_demand_use", 0.01, 1, fleet.onDemandUse);
+        fleet.slotUse = table.number("slot_use", 0.01, 1, fleet.slotUse);
     });
+    settings.limits.drainTime = seconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
     settings.limits.dutyLease = seconds(reader.number("duty_lease_ms", 0, maxMs, 3000) / 1000);
     reader.finish();
     return settings;
--- a/drivers/settings/serving_settings.h
+++ b/drivers/settings/serving_settings.h
@@ -2,7 +2,6 @@
 
 #include "core/instant.h"
 #include "servers/configuration/configuration_fault.h"
-#include "servers/fleet/spread_fleet_planner.h"
 #include "servers/serving/serving_limits.h"
 
 #include <cstdint>
@@ -26,7 +25,6 @@
     std::string dutyAddress;   ///< "IP:port" of the platform's API for duties.
     std::vector<std::string> peerAddresses; ///< Digest addresses of some entry instances.
     ServingLimits limits;
-    FleetPolicy fleet;
     Duration stopGrace{}; ///< From SIGTERM to SIGKILL.
 };
 
--- /dev/null
+++ b/drivers/traffic/endpoint_call.cpp
@@ -0,0 +1,65 @@
+#include "drivers/traffic/endpoint_call.h"
+
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+constexpr std::uint32_t maxHeaderBytes = 16U * 1024;
+constexpr std::uint64_t maxBodyBytes = 1024ULL * 1024;
+} // namespace
+
+EndpointCall::EndpointCall(EventLoop &loop, std::shared_ptr<EndpointConnection> connection,
+                           Instant deadline, Done done)
+    : m_loop(loop)
+    , m_connection(std::move(connection))
+    , m_done(std::move(done))
+    , m_reader(maxHeaderBytes, maxBodyBytes)
+{
+    m_reader.setBodySink([this](std::string_view bytes) { m_body.append(bytes); });
+    m_connection->setUser(this);
+    m_timer = m_loop.timers().schedule(deadline,
+                                       [this] { finish({.reason = "no answer in time"}); });
+}
+
+EndpointCall::~EndpointCall()
+{
+    m_loop.timers().cancel(m_timer);
+    if (m_connection) {
+        m_connection->setUser(nullptr);
+        m_connection->close();
+    }
+}
+
+void EndpointCall::send(std::string_view request)
+{
+    m_connection->send(request);
+}
+
+void EndpointCall::received(std::string &input)
+{
+    std::error_code error;
+    input.erase(0, m_reader.read(input, error));
+    if (error)
+        finish({.reason = "the answer is not HTTP: " + error.message()});
+    else if (m_reader.isComplete())
+        finish({.status = m_reader.head().status, .body = std::move(m_body)});
+}
+
+void EndpointCall::broken(bool /*inOrder*/, std::string_view reason)
+{
+    finish({.reason = std::string(reason)});
+}
+
+void EndpointCall::finish(Answer answer)
+{
+    const auto connection = std::exchange(m_connection, nullptr);
+    if (!connection)
+        return;
+    m_loop.timers().cancel(m_timer);
+    connection->setUser(nullptr);
+    connection->close();
+    m_done(answer);
+}
+
+} // namespace monsoonsail
--- a/drivers/traffic/traffic.cpp
+++ b/drivers/traffic/traffic.cpp
@@ -126,6 +126,35 @@
         retire(*exchange, attempt);
 }
 
+void Traffic::move(const RunMove &move)
+{
+    RunMoveEnd end{.request = move.request, .attempt = move.attempt};
+    const Exchange *exchange = find(move.request);
+    if (exchange == nullptr)
+        return;
+    std::shared_ptr<EndpointConnection> connection =
+            m_endpoints.take(move.source, Instant::min());
+    std::error_code error;
+    if (!connection)
+        connection = m_endpoints.open(move.source, move.sourceAddress, error);
+    if (!connection) {
+        end.reason = error.message();
+        m_listener.moved(end);
+        return;
+    }
+    std::string request;
+    m_codec.writeMove(exchange->callerId, move, request);
+    const auto done = [this, end](const EndpointCall::Answer &answer) mutable {
+        end.reason = answer.reason;
+        if (answer.status != 0)
+            m_codec.readMove(answer.status, answer.body, end);
+        m_listener.moved(end);
+    };
+    m_calls.push_back(std::make_unique<EndpointCall>(m_loop, std::move(connection), move.deadline,
+                                                     done));
+    m_calls.back()->send(request);
+}
+
 void Traffic::relay(Attempt &attempt, const AnswerHead &head, std::string_view event,
                     std::optional<EventId> id)
 {
@@ -147,6 +176,11 @@
     StreamProgress &progress = exchange->unreported;
     progress.request = exchange->number;
     progress.attempt = attempt.start().attempt;
+    if (progress.events == 0)
+        progress.firstEventAt = m_loop.now();
+    else
+        progress.longestPause =
+                std::max(progress.longestPause, m_loop.now() - progress.lastEventAt);
     ++progress.events;
     progress.lastEvent = exchange->lastEvent.value_or(0);
     progress.lastEventAt = m_loop.now();
@@ -231,6 +265,11 @@
     Exchange *exchange = find(request);
     if (exchange == nullptr)
         return;
+    // A whole answer can't follow the first events of a stream.
+    if (exchange->answerStarted) {
+        breakOff(request);
+        return;
+    }
     const auto entry = exchange->attempts.find(attempt);
     const auto caller = std::exchange(exchange->caller, nullptr);
     if (caller && entry != exchange->attempts.end()) {
@@ -326,6 +365,7 @@
 {
     m_sweepTimer = m_loop.timers().schedule(m_loop.now() + sweepInterval, [this] { sweep(); });
     m_retired.clear();
+    std::erase_if(m_calls, [](const auto &call) { return call->isOver(); });
     m_endpoints.expire(m_loop.now());
     const std::vector<std::shared_ptr<CallerConnection>> connections(m_connections.begin(),
                                                                      m_connections.end());
--- a/drivers/traffic/traffic.h
+++ b/drivers/traffic/traffic.h
@@ -4,6 +4,7 @@
 #include "drivers/traffic/attempt.h"
 #include "drivers/traffic/caller_connection.h"
 #include "drivers/traffic/caller_listener.h"
+#include "drivers/traffic/endpoint_call.h"
 #include "drivers/traffic/endpoint_pool.h"
 #include "drivers/traffic/exchange.h"
 #include "drivers/traffic/wire_codec.h"
@@ -34,6 +35,7 @@
 
     void start(const AttemptStart &attempt) override;
     void cancel(RequestNumber request, AttemptNumber attempt) override;
+    void move(const RunMove &move) override;
     void refuse(const Refusal &refusal) override;
     void deliver(RequestNumber request, AttemptNumber attempt) override;
     void breakOff(RequestNumber request) override;
@@ -78,6 +80,7 @@
     std::unordered_map<const CallerConnection *, RequestNumber> m_requestOf;
     /// Attempts that have ended; they may still be running further up the stack.
     std::vector<std::unique_ptr<Attempt>> m_retired;
+    std::vector<std::unique_ptr<EndpointCall>> m_calls;
     std::unordered_set<RequestNumber> m_progressed; ///< Exchanges with unreported events.
     RequestNumber m_lastRequest = 0;
     TimerQueue::Handle m_progressTimer;
--- a/drivers/traffic/wire_codec.h
+++ b/drivers/traffic/wire_codec.h
@@ -6,11 +6,13 @@
 #include "servers/serving/attempt_start.h"
 #include "servers/serving/refusal.h"
 #include "servers/serving/request_arrival.h"
+#include "servers/serving/run_move.h"
 
 #include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace monsoonsail {
 
@@ -35,6 +37,11 @@
     virtual void writeForwarded(const RequestHead &head, const AttemptStart &attempt,
                                 std::size_t bodyBytes, Instant now, std::string &output) const = 0;
     virtual AnswerTraits inspect(const AnswerHead &head) const = 0;
+    /// Appends a whole request that asks an engine to move a run.
+    virtual void writeMove(const std::string &callerId, const RunMove &move,
+                           std::string &output) const = 0;
+    /// Reads an engine's answer to such a request into `end`.
+    virtual void readMove(int status, std::string_view body, RunMoveEnd &end) const = 0;
     /// Appends header lines that belong to every answer of our own to this request.
     virtual void writeOwnFields(const RequestHead &head, std::string &output) const = 0;
 };
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -18,18 +18,21 @@
 /// A change of the configuration wakes its read at once; a read that waits longer would find out
 /// too late that its connection has gone silent (a version is in force within 2 s).
 constexpr TopicFollower::Pace configurationPace{.wait = std::chrono::milliseconds(1000),
-                                                .interval = std::chrono::milliseconds(50)};
+                                                .interval = std::chrono::milliseconds(50),
+                                                .passiveInterval = std::chrono::seconds(10)};
 /// Endpoints write about once a second each, so an immediate answer to every write would cost a
-/// call for each. Half of a second is a quarter of the time in which a leaving endpoint must be
-/// left alone.
+/// call for each. Some endpoints leave 1.5 s after they say so, and their runs have to be moved.
 constexpr TopicFollower::Pace endpointPace{.wait = std::chrono::milliseconds(1000),
-                                           .interval = std::chrono::milliseconds(500)};
+                                           .interval = std::chrono::milliseconds(200),
+                                           .passiveInterval = std::chrono::seconds(10)};
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// The others know of a request's load and charge within this time. Each digest costs every
 /// instance a wakeup.
 constexpr Duration digestInterval = std::chrono::milliseconds(250);
-/// Endpoints that began to leave this recently are named in digests.
-constexpr Duration leavingMemory = std::chrono::seconds(10);
+/// News goes out at once, but not more often than this.
+constexpr Duration newsInterval = std::chrono::milliseconds(40);
+/// Changes of endpoints are repeated in digests for so long, since datagrams get lost.
+constexpr Duration newsMemory = std::chrono::milliseconds(1500);
 /// Counts of a window are summed up when those of the other instances should be stored.
 constexpr Duration usageSettle = std::chrono::milliseconds(1000);
 
@@ -62,14 +65,16 @@
     , m_digests(loop, settings.digestListen, [this](const Digest &digest) { digestReceived(digest); })
     , m_presence(settings.instance, settings.digestListen, m_store, m_mesh,
                  [this] { return m_loop.now(); })
+    , m_readerRole(settings.instance)
     , m_duties(m_http, loop.clock(), settings.dutyAddress, settings.instance)
     , m_keeper({.instance = settings.instance, .incarnation = incarnation},
                settings.limits.dutyLease, m_store, [this] { return m_loop.now(); }, m_log)
     , m_usage(incarnation, {.settle = usageSettle, .due = settings.limits.usageDue}, m_context.meter,
               m_store, m_duties, [this] { return m_loop.now(); }, [this] { m_keeper.fenced(); },
               m_log)
-    , m_fleet(std::make_unique<SpreadFleetPlanner>(settings.fleet), m_context.endpoints, m_duties,
+    , m_fleet(std::make_unique<SpreadFleetPlanner>(), m_context.endpoints, m_duties,
               [this] { return m_loop.now(); }, [this] { m_keeper.fenced(); }, m_log)
+    , m_allowanceJournal(m_context.allowances, m_store, [this] { return m_loop.now(); }, m_log)
 { }
 
 ControlPlane::~ControlPlane()
@@ -90,12 +95,17 @@
 
 void ControlPlane::start()
 {
+    m_endpointFeed.setNewsHandler([this] {
+        if (m_loop.now() >= m_digestSentAt + newsInterval)
+            sendDigestNow();
+    });
     m_log.write(LogLevel::Info, "started", {},
                 {{"zone", m_settings.zone}, {"callers", m_settings.callerListen}});
     m_readyServer.emplace(m_loop, m_settings.readyListen,
                           [this](const RequestHead &head, std::string_view /*body*/) {
                               return answer(head);
                           });
+    m_allowanceJournal.recover();
     m_configurationFollower.start();
     m_endpointFollower.start();
     for (const std::string &address : m_settings.peerAddresses)
@@ -153,6 +163,12 @@
     armTimer();
 }
 
+void ControlPlane::moved(const RunMoveEnd &end)
+{
+    m_core.moved(end, m_loop.now());
+    armTimer();
+}
+
 LocalServer::Answer ControlPlane::answer(const RequestHead &head) const
 {
     if (head.target == "/readyz") {
@@ -190,27 +206,76 @@
     m_tickTimer = m_loop.timers().schedule(m_loop.now() + tickInterval, [this] { tick(); });
     const Instant now = m_loop.now();
     m_core.moveFromSilent(now);
+    m_core.evacuate(now);
     m_mesh.expire(now);
     m_context.repeats.setInstances(m_mesh.instanceCount());
     m_context.allowances.reserve(m_mesh, now);
     m_context.meter.setClockCorrection(m_mesh.clockCorrection());
+    shareReading();
     m_presence.advance();
     m_keeper.advance(m_mesh);
     m_usage.advance(m_keeper.fencingNumber());
-    m_context.work.measure(now);
-    if (m_context.configuration) {
-        m_fleet.advance(m_keeper.fencingNumber(), *m_context.configuration,
-                        m_context.work.enginesBusy());
-    }
+    manageFleet();
+    m_allowanceJournal.advance(m_keeper.fencingNumber() != 0, m_mesh.clockCorrection());
     m_log.reportDropped();
     m_logs.flush();
     checkStop();
 }
 
+void ControlPlane::manageFleet()
+{
+    if (!m_context.configuration)
+        return;
+    for (const Service &service : m_context.configuration->services()) {
+        if (!service.engine)
+            continue;
+        double running = 0;
+        for (const auto &[id, endpoint] : m_context.endpoints.all()) {
+            if (endpoint.listing.service == service.name)
+                running += m_context.enginePlacer->running(id);
+        }
+        m_context.work.running(service.name, running, service.engine->batchSlots);
+    }
+    m_context.work.measure(m_loop.now());
+    m_fleet.advance(m_keeper.fencingNumber(), *m_context.configuration,
+                    m_context.work.enginesNeeded());
+}
+
+void ControlPlane::shareReading()
+{
+    const Instant now = m_loop.now();
+    const bool isReader = m_readerRole.isReader(m_mesh, now);
+    if (isReader != m_endpointFollower.isActive())
+        m_log.write(LogLevel::Info, "reader-role", {}, {{"reader", isReader}});
+    m_configurationFollower.setActive(isReader);
+    m_endpointFollower.setActive(isReader);
+    if (isReader)
+        return;
+    for (const auto &[name, peer] : m_mesh.peers()) {
+        if (!Mesh::isLive(peer, now) || !peer.digest.isReader)
+            continue;
+        m_context.endpointsAsOf =
+                std::max(m_context.endpointsAsOf, peer.heardAt - peer.digest.endpointsAge);
+        const Revision own = m_context.configuration ? m_context.configuration->revision() : 0;
+        if (peer.digest.revision == own) {
+            m_context.configurationAsOf = std::max(m_context.configurationAsOf,
+                                                   peer.heardAt - peer.digest.configurationAge);
+        }
+    }
+}
+
 void ControlPlane::sendDigest()
+{
+    m_loop.timers().cancel(m_digestTimer);
+    m_digestTimer =
+            m_loop.timers().schedule(m_loop.now() + digestInterval, [this] { sendDigest(); });
+    sendDigestNow();
+}
+
+void ControlPlane::sendDigestNow()
 {
     const Instant now = m_loop.now();
-    m_digestTimer = m_loop.timers().schedule(now + digestInterval, [this] { sendDigest(); });
+    m_digestSentAt = now;
     Digest digest{.instance = m_settings.instance,
                   .incarnation = m_incarnation,
                   .address = m_settings.digestListen,
@@ -219,15 +284,23 @@
                   .sentAt = now,
                   .revision = m_context.configuration ? m_context.configuration->revision() : 0,
                   .isStopping = m_stopping,
+                  .isReader = m_endpointFollower.isActive(),
                   .fencingNumber = m_keeper.fencingNumber(),
                   .loads = m_context.enginePlacer->loads(now),
                   .uses = m_context.allowances.uses(),
                   .work = m_context.work.work(),
                   .counts = m_context.meter.recent(),
-                  .leaving = m_context.endpoints.leavingSince(now - leavingMemory),
+                  .configurationAge = now - m_context.configurationAsOf,
+                  .endpointsAge = now - m_context.endpointsAsOf,
                   .neighbours = m_mesh.liveAddresses(now)};
     for (Digest::EndpointLoad &load : m_context.servicePlacer->loads(now))
         digest.loads.push_back(std::move(load));
+    for (const Endpoint *endpoint : m_context.endpoints.changedSince(now - newsMemory)) {
+        digest.news.push_back({.listing = endpoint->listing,
+                               .state = endpoint->state,
+                               .changedAgo = now - endpoint->stateSince,
+                               .usableUntil = endpoint->usableUntil});
+    }
     m_digests.send(digest, m_mesh.targets(now));
 }
 
@@ -242,12 +315,39 @@
     m_context.work.peerReported(*peer);
     m_context.enginePlacer->peerReported(*peer, now);
     m_context.servicePlacer->peerReported(*peer, now);
-    for (const EndpointId &endpoint : digest.leaving)
-        m_context.endpoints.leaving(endpoint, now);
+    for (const Digest::EndpointNews &news : digest.news)
+        applyNews(news, *peer);
     for (const Digest::EndpointLoad &load : digest.loads) {
         if (load.isSuspect)
             m_context.watch.suspectedByPeer(load.endpoint, now);
     }
+    const Revision own = m_context.configuration ? m_context.configuration->revision() : 0;
+    if (digest.revision > own && !m_configurationFollower.isActive())
+        m_configurationFollower.refresh();
+}
+
+void ControlPlane::applyNews(const Digest::EndpointNews &news, const Peer &peer)
+{
+    const Instant now = m_loop.now();
+    EndpointListing listing = news.listing;
+    // Instants are by the sender's clock.
+    listing.coldUntil -= peer.clockOffset;
+    if (listing.leavesAt)
+        *listing.leavesAt -= peer.clockOffset;
+    const EndpointId id = endpointId(listing.instance, listing.startedMs);
+    const Endpoint *known = m_context.endpoints.find(id);
+    // What was found out here later is not undone by news that is repeated.
+    const Instant changedAt = now - news.changedAgo;
+    if (known != nullptr && known->stateSince >= changedAt && news.state != EndpointState::Leaving)
+        return;
+    if (news.state == EndpointState::Unlisted) {
+        if (known != nullptr && !m_endpointFollower.isActive())
+            m_context.endpoints.unlisted(listing.instance, news.usableUntil - peer.clockOffset, now);
+        return;
+    }
+    m_context.endpoints.listed(listing, now);
+    if (news.state == EndpointState::Leaving)
+        m_context.endpoints.leaving(id, now);
 }
 
 void ControlPlane::checkStop()
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -9,6 +9,7 @@
 #include "platform/duty_client.h"
 #include "platform/store_client.h"
 #include "platform/store_site_codec.h"
+#include "servers/allowance/allowance_journal.h"
 #include "servers/duties/duty_keeper.h"
 #include "servers/duties/usage_reporter.h"
 #include "servers/endpoints/endpoint_feed.h"
@@ -18,6 +19,7 @@
 #include "servers/ports/traffic_listener.h"
 #include "servers/serving/serving_core.h"
 #include "servers/site/configuration_feed.h"
+#include "servers/store/reader_role.h"
 #include "servers/store/topic_follower.h"
 
 #include <optional>
@@ -47,6 +49,7 @@
     void callerGone(RequestNumber request) override;
     void progressed(std::span<const StreamProgress> streams) override;
     void ended(const AttemptEnd &end) override;
+    void moved(const RunMoveEnd &end) override;
 
 private:
     TopicFollower::Scheduler scheduler();
@@ -55,7 +58,11 @@
     void armTimer();
     void expire();
     void tick();
+    void manageFleet();
+    void shareReading();
     void sendDigest();
+    void sendDigestNow();
+    void applyNews(const Digest::EndpointNews &news, const Peer &peer);
     void digestReceived(const Digest &digest);
     void checkStop();
 
@@ -76,14 +83,17 @@
     Mesh m_mesh;
     DigestSocket m_digests;
     Presence m_presence;
+    ReaderRole m_readerRole;
     platform::DutyClient m_duties;
     DutyKeeper m_keeper;
     UsageReporter m_usage;
     FleetManager m_fleet;
+    AllowanceJournal m_allowanceJournal;
     std::optional<LocalServer> m_readyServer;
     TimerQueue::Handle m_timer;
     TimerQueue::Handle m_tickTimer;
     TimerQueue::Handle m_digestTimer;
+    Instant m_digestSentAt;
     std::uint64_t m_digestsSent = 0;
     bool m_stopping = false;
     Instant m_stopRequestedAt;
--- /dev/null
+++ b/servers/allowance/allowance_journal.cpp
@@ -0,0 +1,85 @@
+#include "servers/allowance/allowance_journal.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr std::string_view topic = "keyed.allowances";
+constexpr std::string_view key = "use";
+/// What is used between two records is unknown to a process that starts then; a second is an eighth
+/// of today's window.
+constexpr Duration interval = std::chrono::milliseconds(1000);
+
+} // namespace
+
+AllowanceJournal::AllowanceJournal(AllowanceLedger &ledger, RecordLog &log,
+                                   std::function<Instant()> now, DecisionLog &decisions)
+    : m_ledger(ledger)
+    , m_log(log)
+    , m_now(std::move(now))
+    , m_decisions(decisions)
+{ }
+
+void AllowanceJournal::recover()
+{
+    m_log.readNewest(topic, [this](std::error_code error, const LogRecords &records) {
+        handleRecovered(error, records);
+    });
+}
+
+void AllowanceJournal::handleRecovered(std::error_code error, const LogRecords &records)
+{
+    if (error) {
+        m_decisions.write(LogLevel::Warning, "allowances-not-recovered", {},
+                          {{"error", error.message()}});
+        return;
+    }
+    AllowanceLedger::Uses uses;
+    Instant writtenAt;
+    for (const LogRecord &record : records.records) {
+        const nlohmann::json document = nlohmann::json::parse(record.value, nullptr, false);
+        if (record.key != key || !document.is_object())
+            continue;
+        writtenAt = instantFromMicroseconds(document.value("time_us", std::int64_t{0}));
+        const nlohmann::json recorded = document.value("uses", nlohmann::json::object());
+        for (const auto &[account, use] : recorded.items())
+            uses[AccountId(account)] = use.is_number() ? use.get<double>() : 0;
+    }
+    const Instant now = m_now();
+    m_ledger.recovered(uses, writtenAt, now);
+    m_decisions.write(LogLevel::Info, "allowances-recovered", {},
+                      {{"accounts", static_cast<std::int64_t>(uses.size())},
+                       {"age_ms", std::chrono::duration<double, std::milli>(now - writtenAt)
+                                          .count()}});
+}
+
+void AllowanceJournal::advance(bool isWriter, Duration clockCorrection)
+{
+    const Instant now = m_now();
+    if (!isWriter || m_busy || now < m_nextAt)
+        return;
+    const AllowanceLedger::Uses uses = m_ledger.heavyUses(now);
+    m_nextAt = now + interval;
+    if (uses.empty())
+        return;
+    nlohmann::json document{{"time_us", toMicroseconds(now + clockCorrection)},
+                            {"uses", nlohmann::json::object()}};
+    for (const auto &[account, use] : uses)
+        document["uses"][account.value()] = use;
+    m_busy = true;
+    m_log.append(topic, key, document.dump(), std::nullopt,
+                 [this](std::error_code error, LogOffset /*offset*/) {
+                     m_busy = false;
+                     if (error) {
+                         m_decisions.write(LogLevel::Warning, "allowances-not-stored", {},
+                                           {{"error", error.message()}});
+                     }
+                 });
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/allowance/allowance_journal.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/instant.h"
+#include "servers/allowance/allowance_ledger.h"
+#include "servers/ports/decision_log.h"
+#include "servers/ports/record_log.h"
+
+#include <functional>
+
+namespace monsoonsail {
+
+/// Keeps the recent use of allowances in the store, for processes that start after all others have
+/// been killed.
+class AllowanceJournal
+{
+public:
+    /// References must outlive the journal.
+    AllowanceJournal(AllowanceLedger &ledger, RecordLog &log, std::function<Instant()> now,
+                     DecisionLog &decisions);
+
+    /// Reads what was used before this process started.
+    void recover();
+    /// Called often. Only the writer stores the use, while there is much of it.
+    void advance(bool isWriter, Duration clockCorrection);
+
+private:
+    void handleRecovered(std::error_code error, const LogRecords &records);
+
+    AllowanceLedger &m_ledger;
+    RecordLog &m_log;
+    const std::function<Instant()> m_now;
+    DecisionLog &m_decisions;
+    bool m_busy = false;
+    Instant m_nextAt;
+};
+
+} // namespace monsoonsail
--- a/servers/allowance/allowance_ledger.cpp
+++ b/servers/allowance/allowance_ledger.cpp
@@ -17,9 +17,12 @@
 constexpr Duration windowReserve = std::chrono::milliseconds(200);
 /// Time constant with which the demand of the past is forgotten.
 constexpr double demandSeconds = 2.0;
-/// Part of the limit that a process assumes to have been used before its start. Accounts use about
-/// half of their allowances as a rule.
-constexpr double usedBeforeStart = 0.8;
+/// Part of the limit that counts as much. Accounts use about half of their rate as a rule, which is
+/// less than half of the limit.
+constexpr double muchUsed = 0.5;
+/// Part of the limit that a process assumes to have been used evenly before its start if it can't
+/// know. What becomes free each second is still more than most accounts ask for.
+constexpr double usedBeforeStart = 0.95;
 /// Steps in which that is forgotten again.
 constexpr int startSteps = 16;
 /// A peer's digests count from its start while it is this young; later its earlier use is over.
@@ -60,13 +63,47 @@
                                               : 0;
         if (!isNew)
             continue;
-        for (int step = startSteps; step > 0; --step) {
-            entry.used.add(entry.limit * usedBeforeStart / startSteps,
-                           now - m_rules.window * step / startSteps);
+        double used = entry.limit * usedBeforeStart;
+        if (m_recovered) {
+            const auto known = m_recovered->find(account.name);
+            used = known == m_recovered->end() ? entry.limit * muchUsed : known->second;
         }
+        assumeUsed(entry, std::min(used, entry.limit), now);
     }
 }
 
+void AllowanceLedger::assumeUsed(Entry &entry, double amount, Instant now) const
+{
+    for (int step = startSteps; step > 0; --step)
+        entry.used.add(amount / startSteps, now - m_rules.window * step / startSteps);
+}
+
+void AllowanceLedger::recovered(const Uses &uses, Instant writtenAt, Instant now)
+{
+    m_recovered = Uses();
+    // A record that is older than a window tells nothing but that there was little use since.
+    if (now - writtenAt > m_rules.window)
+        return;
+    *m_recovered = uses;
+    for (auto &[account, entry] : m_entries) {
+        const auto known = uses.find(account);
+        const double used = known == uses.end() ? entry.limit * muchUsed : known->second;
+        // The entry was made with the assumption that nothing is known.
+        assumeUsed(entry, used - entry.limit * usedBeforeStart, now);
+    }
+}
+
+AllowanceLedger::Uses AllowanceLedger::heavyUses(Instant now)
+{
+    Uses uses;
+    for (auto &[account, entry] : m_entries) {
+        advance(entry, now);
+        if (entry.limit > 0 && entry.used.sum() > muchUsed * entry.limit)
+            uses[account] = entry.used.sum();
+    }
+    return uses;
+}
+
 std::optional<Instant> AllowanceLedger::admit(const AccountId &account, double amount, Instant now)
 {
     const auto position = m_entries.find(account);
@@ -167,7 +204,7 @@
     return uses;
 }
 
-void AllowanceLedger::advance(Entry &entry, Instant now) const
+void AllowanceLedger::advance(Entry &entry, Instant now)
 {
     entry.used.advance(now);
     entry.usedHere.advance(now);
--- a/servers/allowance/allowance_ledger.h
+++ b/servers/allowance/allowance_ledger.h
@@ -34,6 +34,9 @@
 class AllowanceLedger
 {
 public:
+    /// Amounts used within the last window, by all instances.
+    using Uses = std::map<AccountId, double>;
+
     AllowanceLedger(const AllowanceRules &rules, std::uint64_t seed);
 
     /// Takes effect with the next configure().
@@ -49,6 +52,10 @@
     void peerReported(const Peer &peer, Instant now);
     /// Reserves their part for peers that are silent but may still be serving. Called often.
     void reserve(const Mesh &mesh, Instant now);
+    /// Returns the use of the accounts that have used much of their allowance.
+    Uses heavyUses(Instant now);
+    /// Takes over the use before this process started. Accounts that are not named used little.
+    void recovered(const Uses &uses, Instant writtenAt, Instant now);
     /// Returns the counts of this instance for its digest.
     std::vector<Digest::AccountUse> uses() const;
 
@@ -76,12 +83,14 @@
         std::map<std::string, PeerUse> peers;
     };
 
-    void advance(Entry &entry, Instant now) const;
+    static void advance(Entry &entry, Instant now);
+    void assumeUsed(Entry &entry, double amount, Instant now) const;
     bool isWithinPart(const Entry &entry, double left, double amount);
 
     AllowanceRules m_rules;
     RandomSource m_random;
     std::map<AccountId, Entry> m_entries;
+    std::optional<Uses> m_recovered; ///< Use before the start, if it is known.
     unsigned m_instances = 1;
     Instant m_reservedAt;
 };
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -51,8 +51,11 @@
     m_context.endpoints.unlisted(key, lapseEnd, now);
 }
 
-void EndpointFeed::current(Instant /*asOf*/, Instant now)
+void EndpointFeed::current(Instant asOf, Instant now)
 {
+    m_context.endpointsAsOf = asOf;
+    if (std::exchange(m_hasNews, false) && m_newsHandler)
+        m_newsHandler();
     if (std::exchange(m_isInterrupted, false))
         m_lapseEnd = now + lapseTime;
     for (const EndpointId &endpoint : m_context.endpoints.forget(now)) {
@@ -70,6 +73,7 @@
 
 void EndpointFeed::stateChanged(const Endpoint &endpoint)
 {
+    m_hasNews = true;
     m_context.log.write(LogLevel::Info, "endpoint-state", {},
                         {{"endpoint", endpoint.id.view()},
                          {"service", endpoint.listing.service.view()},
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -4,6 +4,9 @@
 #include "servers/serving/serving_context.h"
 #include "servers/store/topic_follower.h"
 
+#include <functional>
+#include <utility>
+
 namespace monsoonsail {
 
 /// Takes over the endpoints that list themselves in the store.
@@ -12,6 +15,9 @@
 public:
     EndpointFeed(ServingContext &context, const SiteCodec &codec);
 
+    /// `handler` is called after records that have changed the state of endpoints.
+    void setNewsHandler(std::function<void()> handler) { m_newsHandler = std::move(handler); }
+
     void changed(const LogRecord &record, Instant now) override;
     void dropped(const std::string &key, Instant now) override;
     void current(Instant asOf, Instant now) override;
@@ -22,6 +28,8 @@
 
     ServingContext &m_context;
     const SiteCodec &m_codec;
+    std::function<void()> m_newsHandler;
+    bool m_hasNews = false;
     bool m_isInterrupted = false;
     Instant m_lapseEnd = Instant::min(); ///< Until then entries may be missing by a lapse only.
 };
--- a/servers/endpoints/endpoint_registry.cpp
+++ b/servers/endpoints/endpoint_registry.cpp
@@ -64,14 +64,14 @@
     return entry == m_endpoints.end() ? nullptr : &entry->second;
 }
 
-std::vector<EndpointId> EndpointRegistry::leavingSince(Instant since) const
+std::vector<const Endpoint *> EndpointRegistry::changedSince(Instant since) const
 {
-    std::vector<EndpointId> leaving;
+    std::vector<const Endpoint *> changed;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.state == EndpointState::Leaving && endpoint.stateSince >= since)
-            leaving.push_back(id);
+        if (endpoint.stateSince >= since)
+            changed.push_back(&endpoint);
     }
-    return leaving;
+    return changed;
 }
 
 std::vector<EndpointId> EndpointRegistry::forget(Instant now)
--- a/servers/endpoints/endpoint_registry.h
+++ b/servers/endpoints/endpoint_registry.h
@@ -32,8 +32,8 @@
     const Endpoint *find(const EndpointId &endpoint) const;
     /// Returns all endpoints that are known, in order of id.
     const std::map<EndpointId, Endpoint> &all() const { return m_endpoints; }
-    /// Returns the endpoints that were found to be leaving at `since` or later.
-    std::vector<EndpointId> leavingSince(Instant since) const;
+    /// Returns the endpoints whose state has changed at `since` or later.
+    std::vector<const Endpoint *> changedSince(Instant since) const;
     /// Drops endpoints that have long been unlisted and returns them.
     std::vector<EndpointId> forget(Instant now);
 
--- a/servers/fleet/fleet_manager.cpp
+++ b/servers/fleet/fleet_manager.cpp
@@ -20,7 +20,7 @@
 /// costs several times as much.
 Duration lowerDelay(Market market)
 {
-    return market == Market::Reclaimable ? std::chrono::seconds(20) : std::chrono::seconds(4);
+    return market == Market::Reclaimable ? std::chrono::seconds(10) : std::chrono::seconds(4);
 }
 
 std::string_view marketName(Market market)
@@ -28,12 +28,6 @@
     return market == Market::Reclaimable ? "reclaimable" : "on-demand";
 }
 
-unsigned countOf(const FleetPlan &plan, const FleetSlot &slot)
-{
-    const auto entry = plan.find(slot);
-    return entry == plan.end() ? 0 : entry->second;
-}
-
 } // namespace
 
 FleetManager::FleetManager(std::unique_ptr<FleetPlanner> planner, const EndpointRegistry &endpoints,
@@ -48,7 +42,7 @@
 { }
 
 void FleetManager::advance(std::uint64_t fencingNumber, const SiteConfiguration &configuration,
-                           const std::map<ServiceId, double> &enginesBusy)
+                           const std::map<ServiceId, EnginesNeeded> &needed)
 {
     // The orders of another holder are not known, so all are given again.
     if (std::exchange(m_fencingNumber, fencingNumber) != fencingNumber) {
@@ -61,20 +55,28 @@
     for (const Service &service : configuration.services()) {
         if (!service.scaling)
             continue;
-        const auto busy = enginesBusy.find(service.name);
-        manage(service, busy == enginesBusy.end() ? 0 : busy->second);
+        const auto known = needed.find(service.name);
+        std::optional<EnginesNeeded> ofService;
+        if (known != needed.end())
+            ofService = known->second;
+        manage(service, ofService);
     }
 }
 
-void FleetManager::manage(const Service &service, double enginesBusy)
+void FleetManager::manage(const Service &service, std::optional<EnginesNeeded> needed)
 {
     const Instant now = m_now();
     FleetDemand demand{.limits = &*service.scaling,
-                       .enginesBusy = enginesBusy,
+                       .needed = needed,
                        .ready = ready(service.name)};
     for (const auto &[key, order] : m_orders) {
-        if (key.first == service.name && order.isRefused)
+        if (key.first != service.name)
+            continue;
+        const unsigned present = countOf(demand.ready, key.second);
+        if (order.isRefused)
             demand.unavailable.insert(key.second);
+        else if (order.count > present && now < order.repeatAt)
+            demand.booting[key.second] = order.count - present;
     }
     const FleetPlan targets = steady(service.name, m_planner->plan(demand));
     for (const auto &[slot, count] : targets) {
@@ -83,7 +85,7 @@
         if (entry != m_orders.end() && entry->second.isUnderWay)
             continue;
         const unsigned present = countOf(demand.ready, slot);
-        if (present > count && !mayGiveBack(slot, targets, demand.ready))
+        if (present > count && !mayGiveBack(slot, count, demand, targets))
             continue;
         const bool isNew = entry == m_orders.end() || entry->second.count != count;
         const bool isDue = !isNew && entry->second.repeatAt <= now;
@@ -111,19 +113,16 @@
     return targets;
 }
 
-/// Engines are given back only when those that stay are enough for the plan, so that nothing is
-/// missing while others boot.
-bool FleetManager::mayGiveBack(const FleetSlot &slot, const FleetPlan &targets,
-                               const FleetPlan &ready) const
+/// Engines are given back only when those that stay are enough, so that nothing is missing while
+/// others boot.
+bool FleetManager::mayGiveBack(const FleetSlot &slot, unsigned count, const FleetDemand &demand,
+                               const FleetPlan &targets)
 {
-    unsigned planned = 0;
-    unsigned staying = 0;
-    for (const auto &[otherSlot, count] : targets) {
-        planned += count;
-        staying += otherSlot == slot ? std::min(count, countOf(ready, otherSlot))
-                                     : countOf(ready, otherSlot);
-    }
-    return staying >= planned;
+    const unsigned ready = countOf(demand.ready, Market::OnDemand)
+            + countOf(demand.ready, Market::Reclaimable);
+    const unsigned staying = ready - countOf(demand.ready, slot) + count;
+    const double planned = countOf(targets, Market::OnDemand) + countOf(targets, Market::Reclaimable);
+    return staying >= std::min(planned, demand.needed ? demand.needed->least : planned);
 }
 
 FleetPlan FleetManager::ready(const ServiceId &service) const
--- a/servers/fleet/fleet_manager.h
+++ b/servers/fleet/fleet_manager.h
@@ -25,9 +25,10 @@
                  DutyPort &duties, std::function<Instant()> now, std::function<void()> onFenced,
                  DecisionLog &decisions);
 
-    /// Called often. `enginesBusy` tells the load of each service in engines.
+    /// Called often. `needed` tells how many engines the load of each service needs, where
+    /// it is known.
     void advance(std::uint64_t fencingNumber, const SiteConfiguration &configuration,
-                 const std::map<ServiceId, double> &enginesBusy);
+                 const std::map<ServiceId, EnginesNeeded> &needed);
 
 private:
     struct Order
@@ -47,10 +48,11 @@
     };
     using OrderKey = std::pair<ServiceId, FleetSlot>;
 
-    void manage(const Service &service, double enginesBusy);
+    void manage(const Service &service, std::optional<EnginesNeeded> needed);
     FleetPlan ready(const ServiceId &service) const;
     FleetPlan steady(const ServiceId &service, const FleetPlan &plan);
-    bool mayGiveBack(const FleetSlot &slot, const FleetPlan &targets, const FleetPlan &ready) const;
+    static bool mayGiveBack(const FleetSlot &slot, unsigned count, const FleetDemand &demand,
+                            const FleetPlan &targets);
     void order(const OrderKey &key, unsigned count, const ScalingLimits &limits);
     void handleAnswer(const OrderKey &key, DutyOutcome outcome);
 
--- a/servers/fleet/fleet_planner.h
+++ b/servers/fleet/fleet_planner.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "core/instant.h"
 #include "servers/fleet/fleet_plan.h"
+#include "servers/fleet/work_meter.h"
 #include "servers/site/service.h"
 
-#include <map>
+#include <optional>
 #include <set>
 
 namespace monsoonsail {
@@ -13,8 +13,9 @@
 struct FleetDemand
 {
     const ScalingLimits *limits = nullptr;
-    double enginesBusy = 0; ///< Engines that the present load would keep busy all the time.
-    FleetPlan ready;        ///< Engines that take work.
+    std::optional<EnginesNeeded> needed; ///< Nothing before the load is known.
+    FleetPlan ready;                 ///< Engines that take work.
+    FleetPlan booting;               ///< Engines that have been ordered and are about to.
     std::set<FleetSlot> unavailable; ///< Where none is to be had at present.
 };
 
@@ -27,4 +28,9 @@
     virtual FleetPlan plan(const FleetDemand &demand) const = 0;
 };
 
+/// Returns the engines of a slot, 0 if the plan doesn't name it.
+unsigned countOf(const FleetPlan &plan, const FleetSlot &slot);
+/// Returns the engines of a market in all zones.
+unsigned countOf(const FleetPlan &plan, Market market);
+
 } // namespace monsoonsail
--- a/servers/fleet/spread_fleet_planner.cpp
+++ b/servers/fleet/spread_fleet_planner.cpp
@@ -8,11 +8,9 @@
 
 namespace {
 
-unsigned countOf(const FleetPlan &plan, const ZoneId &zone, Market market)
-{
-    const auto entry = plan.find({zone, market});
-    return entry == plan.end() ? 0 : entry->second;
-}
+/// Before the load is known, as many engines are ordered as were there, and this much more:
+/// reclaimable engines are cheap, and a day may begin with a fleet that is too small for it.
+constexpr double firstFactor = 1.5;
 
 /// Returns the zones, the cheapest first.
 std::vector<ZoneId> zonesByPrice(const ScalingLimits &limits)
@@ -28,6 +26,21 @@
 
 } // namespace
 
+unsigned SpreadFleetPlanner::reclaimableInZone(const FleetDemand &demand, std::size_t zones)
+{
+    const ScalingLimits &limits = *demand.limits;
+    double inZone = 0;
+    if (demand.needed) {
+        inZone = demand.needed->reclaimable / static_cast<double>(std::max<std::size_t>(1, zones - 1));
+    } else {
+        // Engines of one market may be replacing those of the other, so they don't add up.
+        const unsigned present = std::max(countOf(demand.ready, Market::OnDemand),
+                                          countOf(demand.ready, Market::Reclaimable));
+        inZone = firstFactor * present / static_cast<double>(zones);
+    }
+    return std::clamp(static_cast<unsigned>(std::ceil(inZone)), limits.least, limits.most);
+}
+
 FleetPlan SpreadFleetPlanner::plan(const FleetDemand &demand) const
 {
     const ScalingLimits &limits = *demand.limits;
@@ -35,30 +48,25 @@
     FleetPlan plan;
     if (zones.empty())
         return plan;
-    // With one zone lost, the others must carry the load at the target use.
-    const double needed = demand.enginesBusy / m_policy.targetUse;
-    const auto bearing = std::max<std::size_t>(1, zones.size() - 1);
-    const auto inZone = static_cast<unsigned>(std::ceil(needed / static_cast<double>(bearing)));
-    const unsigned reclaimable =
-            std::clamp(inZone, std::max(m_policy.leastReclaimable, limits.least), limits.most);
-    unsigned ready = 0;
-    for (const ZoneId &zone : zones) {
-        plan[{zone, Market::Reclaimable}] = reclaimable;
-        plan[{zone, Market::OnDemand}] = 0;
-        ready += countOf(demand.ready, zone, Market::Reclaimable);
-    }
-    // Engines on demand fill what the reclaimable ones that are ready lack.
-    const double least = demand.enginesBusy / m_policy.leastUse;
-    auto missing = static_cast<unsigned>(std::max(0.0, std::ceil(least - ready)));
+    const unsigned reclaimable = reclaimableInZone(demand, zones.size());
+    const unsigned cheap = countOf(demand.ready, Market::Reclaimable)
+            + countOf(demand.booting, Market::Reclaimable);
+    // Engines on demand fill what the reclaimable ones lack. Before the load is known, those that
+    // are there stay until the reclaimable ones take work.
+    const double needed = demand.needed ? demand.needed->least : 0;
+    auto missing = static_cast<unsigned>(std::max(0.0, std::ceil(needed - cheap)));
     for (const ZoneId &zone : zones) {
-        const bool isRefused = demand.unavailable.contains({zone, Market::OnDemand});
-        const unsigned present = countOf(demand.ready, zone, Market::Reclaimable);
-        const unsigned room = limits.most - std::min(limits.most, std::max(present, 0U));
-        const unsigned added = isRefused ? 0 : std::min(missing, room);
-        plan[{zone, Market::OnDemand}] = added;
+        const FleetSlot onDemand{zone, Market::OnDemand};
+        const FleetSlot reclaimableSlot{zone, Market::Reclaimable};
+        const unsigned room = limits.most
+                - std::min(limits.most, countOf(demand.ready, reclaimableSlot)
+                                   + countOf(demand.booting, reclaimableSlot));
+        const unsigned added =
+                demand.unavailable.contains(onDemand) ? 0 : std::min(missing, room);
         missing -= added;
+        plan[onDemand] = added;
         // Both markets together are bounded.
-        plan[{zone, Market::Reclaimable}] = std::min(reclaimable, limits.most - added);
+        plan[reclaimableSlot] = std::min(reclaimable, limits.most - added);
     }
     return plan;
 }
--- a/servers/fleet/work_meter.cpp
+++ b/servers/fleet/work_meter.cpp
@@ -14,6 +14,10 @@
 
 constexpr double fastSeconds = 2;
 constexpr double slowSeconds = 20;
+/// Before that, the first requests could pass for the usual load.
+constexpr double leastMeasuredSeconds = 3;
+/// Weight of the newest count of running requests, of which there are a few each second.
+constexpr double slotsWeight = 0.1;
 
 } // namespace
 
@@ -52,17 +56,31 @@
         const double total = busyMs(meter);
         const double engines = (total - meter.lastBusyMs) / 1000 / seconds;
         meter.lastBusyMs = total;
+        if (total > 0)
+            meter.measuredSeconds += seconds;
         meter.fast += (engines - meter.fast) * (1 - std::exp(-seconds / fastSeconds));
         meter.slow += (engines - meter.slow) * (1 - std::exp(-seconds / slowSeconds));
     }
 }
 
-std::map<ServiceId, double> WorkMeter::enginesBusy() const
+void WorkMeter::running(const ServiceId &service, double requests, unsigned slotsOfEngine)
 {
-    std::map<ServiceId, double> busy;
-    for (const auto &[service, meter] : m_meters)
-        busy[service] = std::max(meter.fast, meter.slow);
-    return busy;
+    Meter &meter = m_meters[service];
+    meter.slots += slotsWeight * (requests / std::max(1U, slotsOfEngine) - meter.slots);
+}
+
+std::map<ServiceId, EnginesNeeded> WorkMeter::enginesNeeded() const
+{
+    std::map<ServiceId, EnginesNeeded> needed;
+    for (const auto &[service, meter] : m_meters) {
+        if (meter.measuredSeconds < leastMeasuredSeconds)
+            continue;
+        const double busy = std::max(meter.fast, meter.slow);
+        const double forSlots = meter.slots / m_policy.slotUse;
+        needed[service] = {.reclaimable = std::max(busy / m_policy.engineUse, forSlots),
+                           .least = std::max(busy / m_policy.onDemandUse, forSlots)};
+    }
+    return needed;
 }
 
 std::vector<Digest::ServiceWork> WorkMeter::work() const
--- a/servers/fleet/work_meter.h
+++ b/servers/fleet/work_meter.h
@@ -11,20 +11,45 @@
 
 namespace monsoonsail {
 
+/// How busy engines are planned to be.
+struct FleetPolicy
+{
+    /// Part of the time that engines work; more delays first tokens and events.
+    double engineUse = 0.35;
+    /// The same for engines on demand, which cost several times as much.
+    double onDemandUse = 0.5;
+    double slotUse = 0.7; ///< Part of the batch slots that are taken.
+};
+
+/// How many engines the load of a service needs.
+struct EnginesNeeded
+{
+    double reclaimable = 0; ///< As long as reclaimable ones are to be had.
+    double least = 0;       ///< Of both markets; below it engines on demand are worth their price.
+};
+
 /// Measures how much work all entry instances together give to the engines of each service.
 class WorkMeter
 {
 public:
+    explicit WorkMeter(const FleetPolicy &policy)
+        : m_policy(policy)
+    { }
+
     /// Told of prompt tokens that an engine has to read.
     void placed(const ServiceId &service, double promptTokens);
     /// Told of tokens that an engine has made.
     void produced(const ServiceId &service, double outputTokens);
     void peerReported(const Peer &peer);
+    /// Told of the requests that run on the engines of a service, by all instances, and of the
+    /// batch slots of one engine.
+    void running(const ServiceId &service, double requests, unsigned slotsOfEngine);
     /// Takes a measurement. Called a few times a second.
     void measure(Instant now);
 
-    /// Returns how many engines the recent work of each service would keep busy all the time.
-    std::map<ServiceId, double> enginesBusy() const;
+    /// Returns how many engines the recent work of each service needs. A service is left out until
+    /// its work has been measured for a while.
+    std::map<ServiceId, EnginesNeeded> enginesNeeded() const;
     /// Returns the own counts for the digest.
     std::vector<Digest::ServiceWork> work() const;
 
@@ -41,10 +66,13 @@
         double lastBusyMs = 0;             ///< Engine time of all work at the last measurement.
         double fast = 0;                   ///< Engines, by what happened in the last seconds.
         double slow = 0;                   ///< Engines, by what happened in the last minute.
+        double slots = 0;                  ///< Engines whose batch slots are taken.
+        double measuredSeconds = 0;        ///< Since its first work.
     };
 
     static double busyMs(const Meter &meter);
 
+    const FleetPolicy m_policy;
     std::map<ServiceId, Meter> m_meters;
     Instant m_measuredAt = Instant::min();
 };
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -2,6 +2,7 @@
 
 #include "core/identifiers.h"
 #include "core/instant.h"
+#include "servers/endpoints/endpoint.h"
 
 #include <cstdint>
 #include <string>
@@ -22,6 +23,14 @@
         std::uint32_t contextTokens = 0; ///< Tokens in memory of the running requests.
         bool isSuspect = false;          ///< Whether it has fallen silent or keeps failing.
     };
+    /// A recent change of an endpoint.
+    struct EndpointNews
+    {
+        EndpointListing listing; ///< Its instants are by the sender's clock.
+        EndpointState state = EndpointState::Ready;
+        Duration changedAgo{};   ///< Between the change and the digest.
+        Instant usableUntil;     ///< See Endpoint.
+    };
     /// Use of a client account's allowance, in the allowance's unit.
     struct AccountUse
     {
@@ -52,13 +61,17 @@
     Instant sentAt;             ///< By the sender's clock.
     Revision revision = 0;      ///< Configuration in force at the sender.
     bool isStopping = false;
+    bool isReader = false; ///< Whether the sender follows the store's topics itself.
     std::uint64_t fencingNumber = 0; ///< Set while the sender holds the duties.
     std::vector<EndpointLoad> loads;
     std::vector<AccountUse> uses;
     std::vector<ServiceWork> work;
     std::vector<UsageCount> counts;
-    std::vector<EndpointId> leaving;      ///< Endpoints that are known to leave.
-    std::vector<std::string> neighbours;  ///< Addresses of the entry instances that it hears.
+    std::vector<EndpointNews> news;
+    /// How old what a reader knows of the configuration and of the endpoints is.
+    Duration configurationAge{};
+    Duration endpointsAge{};
+    std::vector<std::string> neighbours; ///< Addresses of the entry instances that it hears.
 };
 
 } // namespace monsoonsail
--- a/servers/placement/engine_placer.cpp
+++ b/servers/placement/engine_placer.cpp
@@ -26,6 +26,15 @@
 /// the start that are given up for it. The platform's price of reading is seven times higher.
 constexpr double rereadMsPerThousand = 80;
 constexpr double copyMsPerThousand = 12;
+/// What a new connection costs, in ms of the start that are given up for a kept one; endpoints keep
+/// idle connections for a few seconds.
+constexpr double newConnectionMs = 20;
+constexpr Duration keptConnection = std::chrono::seconds(4);
+/// An engine that reads prompts without a break makes an event only every few chunks, so that all
+/// its streams pause for longer than is good. From this part of the pause goal on, each running
+/// stream adds to the cost.
+constexpr double readPart = 0.6;
+constexpr double perPausedStream = 0.15;
 /// Part of the time to the goal that is planned with; beyond it every ms counts more.
 constexpr double plannedPart = 0.7;
 constexpr double latenessFactor = 4;
@@ -143,6 +152,13 @@
             + missing * (isCopied ? copyMsPerThousand : rereadMsPerThousand) / 1000;
     const double planned = plannedPart * std::max(0.0, toMs(request.goalAt - now));
     candidate.cost += latenessFactor * std::max(0.0, candidate.startMs - planned);
+    const double readMs = readTokens / m_tokensPerMs;
+    if (request.pauseGoal > Duration::zero()) {
+        const double tooLong = readMs - readPart * toMs(request.pauseGoal);
+        candidate.cost += std::max(0.0, tooLong) * running * perPausedStream;
+    }
+    if (!hasIdleConnection(engine.id, now))
+        candidate.cost += newConnectionMs;
     if (m_watch.isSuspect(engine.id, now))
         candidate.cost += suspectCostMs;
     candidate.cost += spreadMs * m_random.unit();
@@ -161,6 +177,8 @@
                        .tokensPerEvent = request.service->engine->tokensPerEvent,
                        .placedAt = now,
                        .backlogTokens = load.promptTokens + m_peers.of(engine).promptTokens};
+    if (Connections &connections = m_connections[engine]; connections.idle > 0)
+        --connections.idle;
     ++load.running;
     load.promptTokens += placement.uncachedTokens;
     load.contextTokens += request.promptTokens;
@@ -197,12 +215,24 @@
     m_tokensPerMs += speedWeight * (run.uncachedTokens / tookMs - m_tokensPerMs);
 }
 
-void EnginePlacer::ended(AttemptNumber attempt, Instant /*now*/)
+bool EnginePlacer::hasIdleConnection(const EndpointId &engine, Instant now) const
+{
+    const auto entry = m_connections.find(engine);
+    return entry != m_connections.end() && entry->second.idle > 0
+            && entry->second.lastUsed + keptConnection > now;
+}
+
+void EnginePlacer::ended(AttemptNumber attempt, Instant now)
 {
     const auto entry = m_runs.find(attempt);
     if (entry == m_runs.end())
         return;
     const Run &run = entry->second;
+    Connections &connections = m_connections[run.engine];
+    if (connections.lastUsed + keptConnection < now)
+        connections.idle = 0;
+    ++connections.idle;
+    connections.lastUsed = now;
     Load &load = m_loads[run.engine];
     --load.running;
     load.promptTokens -= run.uncachedTokens;
@@ -215,6 +245,7 @@
 void EnginePlacer::removed(const EndpointId &endpoint)
 {
     m_cached.removed(endpoint);
+    m_connections.erase(endpoint);
 }
 
 void EnginePlacer::peerReported(const Peer &peer, Instant /*now*/)
@@ -222,6 +253,11 @@
     m_peers.reported(peer);
 }
 
+double EnginePlacer::running(const EndpointId &endpoint) const
+{
+    return ownLoad(endpoint).running + m_peers.of(endpoint).running;
+}
+
 std::vector<Digest::EndpointLoad> EnginePlacer::loads(Instant now) const
 {
     std::vector<Digest::EndpointLoad> loads;
--- a/servers/placement/engine_placer.h
+++ b/servers/placement/engine_placer.h
@@ -29,6 +29,7 @@
     void ended(AttemptNumber attempt, Instant now) override;
     void removed(const EndpointId &endpoint) override;
     void peerReported(const Peer &peer, Instant now) override;
+    double running(const EndpointId &endpoint) const override;
     std::vector<Digest::EndpointLoad> loads(Instant now) const override;
 
 private:
@@ -42,6 +43,12 @@
         Instant placedAt;
         double backlogTokens = 0; ///< Tokens that the engine had to read before.
     };
+    /// Connections to an engine that are probably kept since an earlier request.
+    struct Connections
+    {
+        unsigned idle = 0;
+        Instant lastUsed;
+    };
     struct Load
     {
         std::uint32_t running = 0;
@@ -58,6 +65,7 @@
 
     Candidate judge(const PlacementRequest &request, const Endpoint &engine,
                     std::span<const PrefixHash> prefixes, bool isHome, Instant now);
+    bool hasIdleConnection(const EndpointId &engine, Instant now) const;
     Load ownLoad(const EndpointId &engine) const;
     void learnSpeed(const Run &run, Instant now);
 
@@ -68,6 +76,7 @@
     PromptCacheMap m_cached;
     std::map<AttemptNumber, Run> m_runs;
     std::map<EndpointId, Load> m_loads;
+    std::map<EndpointId, Connections> m_connections;
     double m_tokensPerMs; ///< Prompt tokens that an engine reads.
     Instant m_expiredAt;
 };
--- a/servers/placement/placement.h
+++ b/servers/placement/placement.h
@@ -20,7 +20,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< Expected.
     std::span<const PromptPart> parts;
-    Instant goalAt; ///< Its first byte counts in full until then.
+    Instant goalAt;       ///< Its first byte counts in full until then.
+    Duration pauseGoal{}; ///< Longest pause between two events that counts as good; zero for any.
 };
 
 /// The endpoint that gets a request.
--- a/servers/placement/placer.h
+++ b/servers/placement/placer.h
@@ -33,6 +33,8 @@
 
     /// Takes over what a peer has placed.
     virtual void peerReported(const Peer &peer, Instant now) = 0;
+    /// Returns the requests that run on an endpoint, by all instances.
+    virtual double running(const EndpointId &endpoint) const = 0;
     /// Returns what this instance has placed, for its digest.
     virtual std::vector<Digest::EndpointLoad> loads(Instant now) const = 0;
 };
--- a/servers/placement/service_placer.cpp
+++ b/servers/placement/service_placer.cpp
@@ -54,9 +54,7 @@
     double time = usual > 0 ? usual : defaultTimeMs;
     if (endpoint.listing.coldUntil > now)
         time *= coldFactor;
-    const auto running = m_running.find(endpoint.id);
-    const double own = running == m_running.end() ? 0 : running->second;
-    const double load = (own + m_peers.of(endpoint.id).running) / endpoint.listing.slots;
+    const double load = running(endpoint.id) / endpoint.listing.slots;
     // Endpoints slow down when they are nearly full, and queue beyond.
     double result = time * (1 + load + load * load * load * 2);
     result += failureCostMs * m_watch.failureRate(endpoint.id, now);
@@ -93,6 +91,12 @@
     m_peers.reported(peer);
 }
 
+double ServicePlacer::running(const EndpointId &endpoint) const
+{
+    const auto own = m_running.find(endpoint);
+    return (own == m_running.end() ? 0 : own->second) + m_peers.of(endpoint).running;
+}
+
 std::vector<Digest::EndpointLoad> ServicePlacer::loads(Instant now) const
 {
     std::vector<Digest::EndpointLoad> loads;
--- a/servers/placement/service_placer.h
+++ b/servers/placement/service_placer.h
@@ -26,6 +26,7 @@
     void ended(AttemptNumber attempt, Instant now) override;
     void removed(const EndpointId &endpoint) override { m_running.erase(endpoint); }
     void peerReported(const Peer &peer, Instant now) override;
+    double running(const EndpointId &endpoint) const override;
     std::vector<Digest::EndpointLoad> loads(Instant now) const override;
 
 private:
--- a/servers/ports/traffic_listener.h
+++ b/servers/ports/traffic_listener.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "servers/serving/attempt_end.h"
 #include "servers/serving/request_arrival.h"
+#include "servers/serving/run_move.h"
 #include "servers/serving/stream_progress.h"
 
 #include <span>
@@ -20,6 +21,7 @@
     virtual void callerGone(RequestNumber request) = 0;
     virtual void progressed(std::span<const StreamProgress> streams) = 0;
     virtual void ended(const AttemptEnd &end) = 0;
+    virtual void moved(const RunMoveEnd &end) = 0;
 };
 
 } // namespace monsoonsail
--- a/servers/ports/traffic_port.h
+++ b/servers/ports/traffic_port.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "servers/serving/attempt_start.h"
 #include "servers/serving/refusal.h"
+#include "servers/serving/run_move.h"
 #include "servers/site/connection_limits.h"
 
 namespace monsoonsail {
@@ -18,6 +19,9 @@
     /// Ends an attempt without an AttemptEnd; its connection is closed.
     virtual void cancel(RequestNumber request, AttemptNumber attempt) = 0;
 
+    /// Asks for the memory of a running attempt to be moved. Its stream then ends as interrupted.
+    virtual void move(const RunMove &move) = 0;
+
     virtual void refuse(const Refusal &refusal) = 0;
     /// Passes on the whole answer of an attempt that ended as Answered.
     virtual void deliver(RequestNumber request, AttemptNumber attempt) = 0;
--- /dev/null
+++ b/servers/serving/attempt_launcher.cpp
@@ -0,0 +1,127 @@
+#include "servers/serving/attempt_launcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+/// A connection attempt that takes longer goes to another endpoint; a lost packet alone costs a
+/// second.
+constexpr Duration connectTimeout = std::chrono::milliseconds(300);
+/// An idle connection that a request may not be lost on must have been used this recently.
+constexpr Duration certainIdle = std::chrono::milliseconds(900);
+/// Output of a stream whose caller gives no estimate.
+constexpr std::uint32_t usualOutputTokens = 128;
+
+PlacementRequest placementRequest(const RequestRecord &record)
+{
+    const RequestArrival &arrival = record.arrival;
+    return {.service = record.service,
+            .promptTokens = arrival.promptTokens.value_or(0),
+            .outputTokens = arrival.expectedOutputTokens > 0
+                    ? arrival.expectedOutputTokens
+                    : std::min(arrival.maxOutputTokens, usualOutputTokens),
+            .parts = arrival.promptParts,
+            .goalAt = arrival.arrivedAt + record.route->responseGoal,
+            .pauseGoal = record.route->pauseGoal};
+}
+
+std::optional<unsigned> urgencyOf(const RequestRecord &record)
+{
+    if (!record.service->engine)
+        return std::nullopt;
+    if (record.account != nullptr && record.account->priority)
+        return record.account->priority;
+    return record.route->priority;
+}
+
+} // namespace
+
+AttemptLauncher::AttemptLauncher(ServingContext &context)
+    : m_context(context)
+{ }
+
+std::vector<const Endpoint *> AttemptLauncher::candidates(const RequestRecord &record,
+                                                          Instant now) const
+{
+    std::vector<const Endpoint *> untried;
+    std::vector<const Endpoint *> tried;
+    for (const auto &[id, endpoint] : m_context.endpoints.all()) {
+        if (endpoint.listing.service != record.service->name || !endpoint.isUsable(now))
+            continue;
+        const bool isRunning = std::ranges::find(record.running, id, &RunningAttempt::endpoint)
+                != record.running.end();
+        if (!isRunning)
+            (record.avoided.contains(id) ? tried : untried).push_back(&endpoint);
+    }
+    return untried.empty() ? tried : untried;
+}
+
+std::optional<Placement> AttemptLauncher::place(const RequestRecord &record, Instant now) const
+{
+    return m_context.placerFor(*record.service)
+            .place(placementRequest(record), candidates(record, now), now);
+}
+
+std::optional<Placement> AttemptLauncher::placeMoved(const RequestRecord &record,
+                                                     Instant now) const
+{
+    PlacementRequest request = placementRequest(record);
+    // Nothing has to be read again.
+    request.promptTokens = 0;
+    request.parts = {};
+    return m_context.placerFor(*record.service).place(request, candidates(record, now), now);
+}
+
+void AttemptLauncher::begin(RequestRecord &record, const Placement &placement, Instant now)
+{
+    const Endpoint &endpoint = *m_context.endpoints.find(placement.endpoint);
+    const AttemptNumber number = ++m_lastAttempt;
+    record.running.push_back({.number = number, .endpoint = endpoint.id, .startedAt = now});
+    ++record.runs;
+    m_context.watch.started(number, endpoint.id, record.isStream(), now);
+    m_context.placerFor(*record.service)
+            .started(number, placementRequest(record), placement, now);
+    const RequestArrival &arrival = record.arrival;
+    m_context.log.write(LogLevel::Detail, "attempt-started", arrival.callerId,
+                        {{"attempt", static_cast<std::int64_t>(number)},
+                         {"endpoint", endpoint.id.view()},
+                         {"run", static_cast<std::int64_t>(record.runs)},
+                         {"uncached_tokens", static_cast<std::int64_t>(placement.uncachedTokens)},
+                         {"moved", placement.cache.kind == CacheSource::Kind::Moved},
+                         {"revision",
+                          static_cast<std::int64_t>(record.configuration->revision())}});
+    m_context.traffic.start(
+            {.request = arrival.number,
+             .attempt = number,
+             .endpoint = endpoint.id,
+             .address = endpoint.listing.address,
+             .instance = endpoint.listing.instance,
+             .account = record.account != nullptr ? record.account->name : AccountId(),
+             .urgency = urgencyOf(record),
+             .resumeAfter = record.lastEvent,
+             .cache = placement.cache,
+             .isStream = record.isStream(),
+             .idleSince = record.isIdempotent() ? Instant::min() : now - certainIdle,
+             .connectDeadline = std::min(now + connectTimeout, record.answerBy),
+             .deadline = record.answerBy});
+}
+
+void AttemptLauncher::ended(const RequestRecord &record, const RunningAttempt &attempt,
+                            EndpointVerdict verdict, Instant now)
+{
+    m_context.watch.ended(attempt.number, verdict, now);
+    m_context.placerFor(*record.service).ended(attempt.number, now);
+}
+
+void AttemptLauncher::stopAll(RequestRecord &record, EndpointVerdict verdict, Instant now)
+{
+    for (const RunningAttempt &attempt : std::exchange(record.running, {})) {
+        ended(record, attempt, verdict, now);
+        m_context.traffic.cancel(record.arrival.number, attempt.number);
+    }
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/servers/serving/evacuation.cpp
@@ -0,0 +1,56 @@
+#include "servers/serving/evacuation.h"
+
+#include <algorithm>
+
+namespace monsoonsail {
+
+namespace {
+
+/// Before the end of the endpoint: the notice may be half of a second old when it is read, and a
+/// move waits for others on the same link. Most streams end before, so it should not be longer.
+constexpr Duration lead = std::chrono::milliseconds(800);
+/// Moves are tried again after failures, but not for ever.
+constexpr unsigned maxMoves = 2;
+
+} // namespace
+
+Instant expectedEnd(const Endpoint &endpoint, Duration drainTime)
+{
+    if (endpoint.state == EndpointState::Ready)
+        return Instant::max();
+    if (endpoint.state == EndpointState::Leaving && endpoint.listing.leavesAt)
+        return *endpoint.listing.leavesAt;
+    return endpoint.stateSince + drainTime;
+}
+
+std::vector<Evacuation> dueEvacuations(
+        const std::unordered_map<RequestNumber, RequestRecord> &requests,
+        const EndpointRegistry &endpoints, Duration drainTime, Instant now)
+{
+    std::vector<EndpointId> leaving;
+    for (const auto &[id, endpoint] : endpoints.all()) {
+        if (!endpoint.isUsable(now) && expectedEnd(endpoint, drainTime) - lead <= now)
+            leaving.push_back(id);
+    }
+    std::vector<Evacuation> due;
+    if (leaving.empty())
+        return due;
+    for (const auto &[number, record] : requests) {
+        if (record.running.empty() || !record.isStream() || !record.service->engine)
+            continue;
+        for (const RunningAttempt &attempt : record.running) {
+            if (attempt.move != RunningAttempt::Move::None || attempt.moves >= maxMoves
+                || std::ranges::find(leaving, attempt.endpoint) == leaving.end())
+                continue;
+            if (attempt.hasEvents && record.service->engine->canMoveRuns)
+                due.push_back({.request = number, .attempt = attempt.number});
+            else if (!attempt.hasEvents && record.isIdempotent())
+                due.push_back({.request = number,
+                               .attempt = attempt.number,
+                               .kind = Evacuation::Kind::Restart});
+        }
+    }
+    return due;
+}
+
+} // namespace monsoonsail
--- a/servers/serving/request_record.h
+++ b/servers/serving/request_record.h
@@ -2,6 +2,7 @@
 
 #include "core/identifiers.h"
 #include "core/instant.h"
+#include "servers/serving/attempt_start.h"
 #include "servers/serving/request_arrival.h"
 #include "servers/site/site_configuration.h"
 
@@ -16,10 +17,23 @@
 /// An attempt of a request that is under way.
 struct RunningAttempt
 {
+    /// How far the move of its memory to another endpoint is.
+    enum class Move {
+        None,
+        Asked,
+        Done, ///< The run has stopped; its stream is about to end.
+    };
+
     AttemptNumber number = 0;
     EndpointId endpoint;
     Instant startedAt;
     bool hasEvents = false;
+    Move move = Move::None;
+    unsigned moves = 0;          ///< Moves that were asked for.
+    bool hasEnded = false;       ///< Its stream has ended; the end of the move is awaited.
+    EndpointId moveTarget;       ///< Where the run goes on.
+    CacheSource movedCache;      ///< Its memory, once moved.
+    Instant moveDeadline;        ///< The stream of a run that was moved is given up then.
 };
 
 /// Control state of one request in progress.
@@ -38,11 +52,14 @@
     std::set<EndpointId> avoided; ///< Endpoints that failed or declined it.
     unsigned runs = 0;            ///< Attempts that may have run, the running ones included.
     unsigned repeats = 0;         ///< Attempts after the first one.
-    unsigned breaks = 0;          ///< Attempts that broke off; their endpoints may have ended.
+    unsigned endedRuns = 0;       ///< Runs that broke off because their endpoint has ended.
     bool mayHaveRun = false;      ///< Whether some attempt may have run.
     bool isStreaming = false;     ///< Whether the caller has got events.
     bool isMetered = false;       ///< Whether its run has been counted.
     double charge = 0;            ///< What it took from the allowance of its account.
+    Instant firstEventAt;         ///< Set while streaming.
+    Instant lastEventAt;
+    Duration longestPause{};      ///< Between two events that the caller got.
     std::optional<EventId> lastEvent;
     AttemptNumber failureAnswer = 0; ///< Attempt with a whole answer that tells of a failure.
     Instant dueAt;                   ///< Entry of the deadline queue.
--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -23,6 +23,7 @@
     , traffic(trafficPort)
     , log(decisionLog)
     , random(stableHash(incarnation))
+    , work(limits.fleet)
     , enginePlacer(std::make_unique<EnginePlacer>(watch, work, stableHash(incarnation, engineSeed)))
     , servicePlacer(
               std::make_unique<ServicePlacer>(zone, watch, stableHash(incarnation, serviceSeed)))
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -55,6 +55,7 @@
     UsageMeter meter;
     std::shared_ptr<const SiteConfiguration> configuration; ///< In force; null before the first.
     Instant configurationAsOf; ///< The configuration was the newest one at this instant.
+    Instant endpointsAsOf;     ///< All changes of endpoints up to this instant are known.
     bool refusesNew = false;   ///< Whether the process is about to end.
 };
 
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -1,5 +1,6 @@
 #include "servers/serving/serving_core.h"
 
+#include "servers/serving/evacuation.h"
 #include "servers/serving/request_admission.h"
 
 #include <algorithm>
@@ -9,9 +10,6 @@
 
 namespace {
 
-/// A connection attempt that takes longer goes to another endpoint; a lost packet alone costs a
-/// second.
-constexpr Duration connectTimeout = std::chrono::milliseconds(300);
 /// When a request that found no endpoint is worth sending again: endpoints are listed anew about
 /// twice a second.
 constexpr Duration noEndpointRetry = std::chrono::milliseconds(500);
@@ -21,27 +19,19 @@
 constexpr Duration leastUsefulTime = std::chrono::milliseconds(5);
 /// Attempts after the first; more would only spread trouble.
 constexpr unsigned maxRepeats = 4;
-/// Runs beyond the route's attempts that follow attempts that broke off: as a rule their endpoint
-/// has ended, and such runs don't count.
-constexpr unsigned maxRunsAfterBreaks = 1;
-/// An idle connection that a request may not be lost on must have been used this recently.
-constexpr Duration certainIdle = std::chrono::milliseconds(900);
+/// Runs beyond the route's attempts that may follow runs whose endpoints have ended.
+constexpr unsigned maxRunsAfterEnds = 1;
 /// Part of the time to the goal after which a second attempt starts beside the first.
 constexpr int hedgePercent = 40;
-/// Output of a stream whose caller gives no estimate.
-constexpr std::uint32_t usualOutputTokens = 128;
+/// Answer to a request for a move. Copies wait for each other on the engines' links.
+constexpr Duration moveTimeout = std::chrono::milliseconds(700);
+/// The stream of a run that was moved ends at once unless its connection has gone silent.
+constexpr Duration movedStreamEnd = std::chrono::milliseconds(150);
 constexpr int firstServerErrorStatus = 500;
 
-PlacementRequest placementRequest(const RequestRecord &record)
+double toMs(Duration duration)
 {
-    const RequestArrival &arrival = record.arrival;
-    return {.service = record.service,
-            .promptTokens = arrival.promptTokens.value_or(0),
-            .outputTokens = arrival.expectedOutputTokens > 0
-                    ? arrival.expectedOutputTokens
-                    : std::min(arrival.maxOutputTokens, usualOutputTokens),
-            .parts = arrival.promptParts,
-            .goalAt = arrival.arrivedAt + record.route->responseGoal};
+    return std::chrono::duration<double, std::milli>(duration).count();
 }
 
 std::int64_t toLog(std::uint64_t number)
@@ -53,6 +43,7 @@
 
 ServingCore::ServingCore(ServingContext &context)
     : m_context(context)
+    , m_launcher(context)
 { }
 
 void ServingCore::arrived(const RequestArrival &arrival, Instant now)
@@ -69,32 +60,9 @@
     start(record, now);
 }
 
-std::vector<const Endpoint *> ServingCore::candidates(const RequestRecord &record,
-                                                      Instant now) const
-{
-    std::vector<const Endpoint *> untried;
-    std::vector<const Endpoint *> tried;
-    for (const auto &[id, endpoint] : m_context.endpoints.all()) {
-        if (endpoint.listing.service != record.service->name || !endpoint.isUsable(now))
-            continue;
-        const bool isRunning =
-                std::ranges::find(record.running, id, &RunningAttempt::endpoint)
-                != record.running.end();
-        if (!isRunning)
-            (record.avoided.contains(id) ? tried : untried).push_back(&endpoint);
-    }
-    return untried.empty() ? tried : untried;
-}
-
-std::optional<Placement> ServingCore::place(const RequestRecord &record, Instant now)
-{
-    Placer &placer = m_context.placerFor(*record.service);
-    return placer.place(placementRequest(record), candidates(record, now), now);
-}
-
 void ServingCore::start(RequestRecord &record, Instant now)
 {
-    const std::optional<Placement> placement = place(record, now);
+    const std::optional<Placement> placement = m_launcher.place(record, now);
     if (!placement) {
         giveUp(record, ErrorKind::NoEndpoint, "no endpoint", now);
         return;
@@ -103,52 +71,14 @@
             && record.route->attempts > 1;
     if (mayHedge)
         record.hedgeAt = now + record.route->responseGoal * hedgePercent / 100;
-    begin(record, *placement, now);
-}
-
-void ServingCore::begin(RequestRecord &record, const Placement &placement, Instant now)
-{
-    const Endpoint &endpoint = *m_context.endpoints.find(placement.endpoint);
-    const AttemptNumber number = ++m_lastAttempt;
-    record.running.push_back({.number = number, .endpoint = endpoint.id, .startedAt = now});
-    ++record.runs;
-    m_context.watch.started(number, endpoint.id, record.isStream(), now);
-    m_context.placerFor(*record.service)
-            .started(number, placementRequest(record), placement, now);
-    const RequestArrival &arrival = record.arrival;
-    std::optional<unsigned> urgency;
-    if (record.service->engine) {
-        urgency = record.route->priority;
-        if (record.account != nullptr && record.account->priority)
-            urgency = record.account->priority;
-    }
-    m_context.log.write(LogLevel::Detail, "attempt-started", arrival.callerId,
-                        {{"attempt", toLog(number)},
-                         {"endpoint", endpoint.id.view()},
-                         {"run", toLog(record.runs)},
-                         {"uncached_tokens", toLog(placement.uncachedTokens)},
-                         {"revision", toLog(record.configuration->revision())}});
-    m_context.traffic.start(
-            {.request = arrival.number,
-             .attempt = number,
-             .endpoint = endpoint.id,
-             .address = endpoint.listing.address,
-             .instance = endpoint.listing.instance,
-             .account = record.account != nullptr ? record.account->name : AccountId(),
-             .urgency = urgency,
-             .resumeAfter = record.lastEvent,
-             .cache = placement.cache,
-             .isStream = record.isStream(),
-             .idleSince = record.isIdempotent() ? Instant::min() : now - certainIdle,
-             .connectDeadline = std::min(now + connectTimeout, record.answerBy),
-             .deadline = record.answerBy});
+    m_launcher.begin(record, *placement, now);
     schedule(record);
 }
 
 void ServingCore::hedge(RequestRecord &record, Instant now)
 {
     record.hedgeAt = Instant::max();
-    const auto placement = place(record, now);
+    const auto placement = m_launcher.place(record, now);
     if (!placement || record.avoided.contains(placement->endpoint)
         || record.runs >= record.route->attempts
         || !m_context.repeats.take(record.service->name, now)) {
@@ -156,7 +86,8 @@
         return;
     }
     ++record.repeats;
-    begin(record, *placement, now);
+    m_launcher.begin(record, *placement, now);
+    schedule(record);
 }
 
 void ServingCore::callerGone(RequestNumber request, Instant now)
@@ -169,7 +100,7 @@
                         {{"running", toLog(record.running.size())}});
     if (!record.running.empty() && !record.isStream())
         meter(record, record.running.front().startedAt);
-    stopAll(record, EndpointVerdict::Unrelated, now);
+    m_launcher.stopAll(record, EndpointVerdict::Unrelated, now);
     m_context.traffic.finish(request);
     erase(record);
 }
@@ -181,7 +112,13 @@
         if (entry == m_requests.end())
             continue;
         RequestRecord &record = entry->second;
-        record.isStreaming = true;
+        if (!std::exchange(record.isStreaming, true))
+            record.firstEventAt = progress.firstEventAt;
+        else
+            record.longestPause =
+                    std::max(record.longestPause, progress.firstEventAt - record.lastEventAt);
+        record.longestPause = std::max(record.longestPause, progress.longestPause);
+        record.lastEventAt = progress.lastEventAt;
         record.lastEvent = progress.lastEvent;
         meter(record, progress.lastEventAt);
         const auto attempt =
@@ -203,8 +140,20 @@
     const auto running = std::ranges::find(record.running, end.attempt, &RunningAttempt::number);
     if (running == record.running.end())
         return;
+    if (running->move != RunningAttempt::Move::None && end.result == AttemptResult::Interrupted) {
+        // The engine has stopped the run to move its memory.
+        running->hasEnded = true;
+        m_launcher.ended(record, *running, EndpointVerdict::Unrelated, now);
+        if (end.lastEvent)
+            record.lastEvent = end.lastEvent;
+        if (running->move == RunningAttempt::Move::Done)
+            continueMoved(record, end.attempt, now);
+        return;
+    }
     const RunningAttempt attempt = *running;
     record.running.erase(running);
+    if (end.lastEvent)
+        record.lastEvent = end.lastEvent;
     const bool isSuccess = end.result == AttemptResult::Streamed
             || (end.result == AttemptResult::Answered && end.status < firstServerErrorStatus);
     const bool didNotRun = end.result == AttemptResult::NotSent
@@ -212,8 +161,7 @@
     EndpointVerdict verdict = didNotRun ? EndpointVerdict::Refused : EndpointVerdict::Failed;
     if (isSuccess)
         verdict = EndpointVerdict::Good;
-    m_context.watch.ended(attempt.number, verdict, now);
-    m_context.placerFor(*record.service).ended(attempt.number, now);
+    m_launcher.ended(record, attempt, verdict, now);
     m_context.log.write(isSuccess ? LogLevel::Detail : LogLevel::Warning, "attempt-ended",
                         record.arrival.callerId,
                         {{"attempt", toLog(attempt.number)},
@@ -237,12 +185,21 @@
         return;
     }
     record.avoided.insert(attempt.endpoint);
-    failed(record, end, now);
+    failed(record, attempt, end, now);
 }
 
 void ServingCore::succeeded(RequestRecord &record, const AttemptEnd &end, Instant now)
 {
-    stopAll(record, EndpointVerdict::Unrelated, now);
+    const Instant first = record.isStreaming ? record.firstEventAt : now;
+    m_context.log.write(LogLevel::Detail, "request-answered", record.arrival.callerId,
+                        {{"route", record.route->name},
+                         {"status", static_cast<std::int64_t>(end.status)},
+                         {"first_ms", toMs(first - record.arrival.arrivedAt)},
+                         {"total_ms", toMs(now - record.arrival.arrivedAt)},
+                         {"longest_pause_ms", toMs(record.longestPause)},
+                         {"repeats", toLog(record.repeats)},
+                         {"prompt_tokens", toLog(record.arrival.promptTokens.value_or(0))}});
+    m_launcher.stopAll(record, EndpointVerdict::Unrelated, now);
     if (end.result == AttemptResult::Streamed)
         m_context.traffic.finish(end.request);
     else
@@ -250,12 +207,15 @@
     erase(record);
 }
 
-void ServingCore::failed(RequestRecord &record, const AttemptEnd &end, Instant now)
+void ServingCore::failed(RequestRecord &record, const RunningAttempt &attempt,
+                         const AttemptEnd &end, Instant now)
 {
     if (end.result == AttemptResult::Answered)
         record.failureAnswer = end.attempt;
-    if (end.result == AttemptResult::Interrupted)
-        ++record.breaks;
+    const Endpoint *endpoint = m_context.endpoints.find(attempt.endpoint);
+    if (end.result == AttemptResult::Interrupted
+        && (endpoint == nullptr || !endpoint->isUsable(now)))
+        ++record.endedRuns;
     // A hedge, or the attempt that was hedged, goes on.
     if (!record.running.empty())
         return;
@@ -280,14 +240,14 @@
     if (!record.mayHaveRun)
         return true;
     const unsigned allowed =
-            record.route->attempts + std::min(record.breaks, maxRunsAfterBreaks);
+            record.route->attempts + std::min(record.endedRuns, maxRunsAfterEnds);
     return record.isIdempotent() && record.runs < allowed;
 }
 
 void ServingCore::giveUp(RequestRecord &record, ErrorKind ifNotRun, std::string_view cause,
                          Instant now)
 {
-    if (record.failureAnswer != 0) {
+    if (record.failureAnswer != 0 && !record.isStreaming) {
         m_context.log.write(LogLevel::Warning, "failure-passed-on", record.arrival.callerId,
                             {{"attempt", toLog(record.failureAnswer)}, {"cause", cause}});
         m_context.traffic.deliver(record.arrival.number, record.failureAnswer);
@@ -332,7 +292,12 @@
 void ServingCore::expireRequest(RequestRecord &record, Instant now)
 {
     if (record.answerBy > now) {
-        if (record.hedgeAt <= now)
+        const auto moved = std::ranges::find_if(record.running, [now](const auto &attempt) {
+            return attempt.move == RunningAttempt::Move::Done && attempt.moveDeadline <= now;
+        });
+        if (moved != record.running.end())
+            continueMoved(record, moved->number, now);
+        else if (record.hedgeAt <= now)
             hedge(record, now);
         else
             schedule(record);
@@ -343,7 +308,7 @@
         if (!record.isStream())
             meter(record, record.running.front().startedAt);
     }
-    stopAll(record, EndpointVerdict::Failed, now);
+    m_launcher.stopAll(record, EndpointVerdict::Failed, now);
     if (!record.mayHaveRun)
         refuse(record, ErrorKind::Overloaded, std::nullopt, "deadline", now);
     else
@@ -367,33 +332,127 @@
         if (runsThere && record.isStream() && record.isIdempotent())
             affected.push_back(number);
     }
-    for (const RequestNumber number : affected) {
-        RequestRecord &record = m_requests.at(number);
-        record.mayHaveRun = true;
-        ++record.breaks;
-        // Without another attempt the endpoint may still come back.
-        if (!mayTryAgain(record, now) || !m_context.repeats.take(record.service->name, now))
+    for (const RequestNumber number : affected)
+        restart(m_requests.at(number), now);
+}
+
+void ServingCore::restart(RequestRecord &record, Instant now)
+{
+    record.mayHaveRun = true;
+    // Without another attempt the endpoint may still come back.
+    if (!mayTryAgain(record, now) || !m_context.repeats.take(record.service->name, now))
+        return;
+    ++record.repeats;
+    for (const RunningAttempt &attempt : record.running)
+        record.avoided.insert(attempt.endpoint);
+    m_launcher.stopAll(record, EndpointVerdict::Failed, now);
+    start(record, now);
+}
+
+void ServingCore::evacuate(Instant now)
+{
+    for (const Evacuation &evacuation :
+         dueEvacuations(m_requests, m_context.endpoints, m_context.limits.drainTime, now)) {
+        const auto entry = m_requests.find(evacuation.request);
+        if (entry == m_requests.end())
+            continue;
+        RequestRecord &record = entry->second;
+        if (evacuation.kind == Evacuation::Kind::Restart) {
+            restart(record, now);
             continue;
-        ++record.repeats;
-        for (const RunningAttempt &attempt : record.running)
-            record.avoided.insert(attempt.endpoint);
-        stopAll(record, EndpointVerdict::Failed, now);
-        start(record, now);
+        }
+        const auto attempt =
+                std::ranges::find(record.running, evacuation.attempt, &RunningAttempt::number);
+        if (attempt != record.running.end())
+            askForMove(record, *attempt, now);
     }
 }
 
-void ServingCore::stop(RequestRecord &record, const RunningAttempt &attempt,
-                       EndpointVerdict verdict, Instant now)
+void ServingCore::askForMove(RequestRecord &record, RunningAttempt &attempt, Instant now)
 {
-    m_context.watch.ended(attempt.number, verdict, now);
-    m_context.placerFor(*record.service).ended(attempt.number, now);
-    m_context.traffic.cancel(record.arrival.number, attempt.number);
+    const std::optional<Placement> target = m_launcher.placeMoved(record, now);
+    const Endpoint *source = m_context.endpoints.find(attempt.endpoint);
+    if (!target || source == nullptr)
+        return;
+    attempt.move = RunningAttempt::Move::Asked;
+    ++attempt.moves;
+    attempt.moveTarget = target->endpoint;
+    m_context.log.write(LogLevel::Info, "run-moving", record.arrival.callerId,
+                        {{"attempt", toLog(attempt.number)},
+                         {"from", attempt.endpoint.view()},
+                         {"to", target->endpoint.view()}});
+    m_context.traffic.move(
+            {.request = record.arrival.number,
+             .attempt = attempt.number,
+             .source = source->id,
+             .sourceAddress = source->listing.address,
+             .targetAddress = m_context.endpoints.find(target->endpoint)->listing.address,
+             .deadline = now + moveTimeout});
 }
 
-void ServingCore::stopAll(RequestRecord &record, EndpointVerdict verdict, Instant now)
+void ServingCore::moved(const RunMoveEnd &end, Instant now)
 {
-    for (const RunningAttempt &attempt : std::exchange(record.running, {}))
-        stop(record, attempt, verdict, now);
+    const auto entry = m_requests.find(end.request);
+    if (entry == m_requests.end())
+        return;
+    RequestRecord &record = entry->second;
+    const auto attempt = std::ranges::find(record.running, end.attempt, &RunningAttempt::number);
+    if (attempt == record.running.end() || attempt->move != RunningAttempt::Move::Asked)
+        return;
+    const bool isMoved = end.result == RunMoveResult::Moved;
+    if (!isMoved) {
+        m_context.log.write(LogLevel::Warning, "run-not-moved", record.arrival.callerId,
+                            {{"attempt", toLog(end.attempt)}, {"reason", end.reason}});
+    }
+    if (isMoved || end.result == RunMoveResult::Stopped) {
+        // A run that has stopped can go on at its source as long as that lives.
+        if (!isMoved)
+            attempt->moveTarget = attempt->endpoint;
+        attempt->move = RunningAttempt::Move::Done;
+        attempt->movedCache = {
+                .kind = CacheSource::Kind::Moved,
+                .address = m_context.endpoints.find(attempt->endpoint)->listing.address,
+                .handle = end.handle};
+        attempt->moveDeadline = now + movedStreamEnd;
+        if (attempt->hasEnded)
+            continueMoved(record, end.attempt, now);
+        else
+            schedule(record);
+        return;
+    }
+    attempt->move = RunningAttempt::Move::None;
+    if (!attempt->hasEnded)
+        return;
+    const RunningAttempt ended = *attempt;
+    record.running.erase(attempt);
+    record.mayHaveRun = true;
+    record.avoided.insert(ended.endpoint);
+    failed(record, ended,
+           {.request = end.request,
+            .attempt = end.attempt,
+            .result = AttemptResult::Interrupted,
+            .reason = end.reason},
+           now);
+}
+
+void ServingCore::continueMoved(RequestRecord &record, AttemptNumber number, Instant now)
+{
+    const auto running = std::ranges::find(record.running, number, &RunningAttempt::number);
+    const RunningAttempt attempt = *running;
+    record.running.erase(running);
+    if (!attempt.hasEnded) {
+        m_launcher.ended(record, attempt, EndpointVerdict::Unrelated, now);
+        m_context.traffic.cancel(record.arrival.number, number);
+    }
+    record.mayHaveRun = true;
+    if (m_context.endpoints.find(attempt.moveTarget) == nullptr) {
+        giveUp(record, ErrorKind::NoEndpoint, "the target of the move is gone", now);
+        return;
+    }
+    // The run that goes on is the same run.
+    --record.runs;
+    m_launcher.begin(record, {.endpoint = attempt.moveTarget, .cache = attempt.movedCache}, now);
+    schedule(record);
 }
 
 void ServingCore::meter(RequestRecord &record, Instant at)
@@ -404,7 +463,11 @@
 
 void ServingCore::schedule(RequestRecord &record)
 {
-    const Instant next = std::min(record.answerBy, record.hedgeAt);
+    Instant next = std::min(record.answerBy, record.hedgeAt);
+    for (const RunningAttempt &attempt : record.running) {
+        if (attempt.move == RunningAttempt::Move::Done)
+            next = std::min(next, attempt.moveDeadline);
+    }
     m_deadlines.move(record.arrival.number, record.dueAt, next);
     record.dueAt = next;
 }
--- a/servers/serving/stream_progress.h
+++ b/servers/serving/stream_progress.h
@@ -14,7 +14,9 @@
     AttemptNumber attempt = 0;
     std::uint32_t events = 0;
     EventId lastEvent = 0;
+    Instant firstEventAt; ///< Of these events.
     Instant lastEventAt;
+    Duration longestPause{}; ///< Between two of these events.
 };
 
 } // namespace monsoonsail
--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -24,8 +24,36 @@
     , m_decisions(decisions)
 { }
 
+void TopicFollower::setActive(bool active)
+{
+    if (std::exchange(m_active, active) != active && active && !m_busy)
+        plan(m_scheduler.now(), !m_next);
+}
+
+void TopicFollower::refresh()
+{
+    if (m_busy)
+        m_wantsNewest = true;
+    else
+        plan(m_scheduler.now(), true);
+}
+
+void TopicFollower::plan(Instant at, bool newest)
+{
+    m_scheduler.at(at, [this, newest, number = ++m_plan] {
+        if (number != m_plan || m_busy)
+            return;
+        if (newest)
+            readNewest();
+        else
+            read();
+    });
+}
+
 void TopicFollower::readNewest()
 {
+    m_busy = true;
+    m_wantsNewest = false;
     m_startedAt = m_scheduler.now();
     m_log.readNewest(m_topic, [this](std::error_code error, const LogRecords &records) {
         handleNewest(error, records);
@@ -34,6 +62,7 @@
 
 void TopicFollower::handleNewest(std::error_code error, const LogRecords &records)
 {
+    m_busy = false;
     if (error) {
         retry(error);
         return;
@@ -56,6 +85,7 @@
 
 void TopicFollower::read()
 {
+    m_busy = true;
     m_startedAt = m_scheduler.now();
     m_log.read(m_topic, *m_next, m_startedAt + m_pace.wait,
                [this](std::error_code error, const LogRecords &records) {
@@ -65,6 +95,7 @@
 
 void TopicFollower::handleRead(std::error_code error, const LogRecords &records)
 {
+    m_busy = false;
     if (error == StoreError::Expired) {
         m_decisions.write(LogLevel::Info, "topic-reread", {},
                           {{"topic", m_topic}, {"offset", static_cast<std::int64_t>(*m_next)}});
@@ -86,7 +117,9 @@
         }
     }
     m_next = records.end;
-    m_sink.current(m_startedAt, now);
+    // A read without records has waited for them until its wait was over.
+    const bool hasWaited = records.records.empty();
+    m_sink.current(hasWaited ? std::min(m_startedAt + m_pace.wait, now) : m_startedAt, now);
     succeeded();
 }
 
@@ -98,8 +131,18 @@
                            {"failures", static_cast<std::int64_t>(m_failures)}});
     }
     m_failures = 0;
-    const Instant next = std::max(m_scheduler.now(), m_startedAt + m_pace.interval);
-    m_scheduler.at(next, [this] { read(); });
+    goOn();
+}
+
+void TopicFollower::goOn()
+{
+    const Instant now = m_scheduler.now();
+    if (m_wantsNewest)
+        plan(now, true);
+    else if (m_active)
+        plan(std::max(now, m_startedAt + m_pace.interval), false);
+    else
+        plan(m_startedAt + m_pace.passiveInterval, true);
 }
 
 void TopicFollower::retry(std::error_code error)
@@ -112,12 +155,7 @@
     ++m_failures;
     m_sink.interrupted(error, now);
     const Duration pause = std::min(firstRetry * m_failures, longestRetry);
-    m_scheduler.at(now + pause, [this] {
-        if (m_next)
-            read();
-        else
-            readNewest();
-    });
+    plan(now + pause, !m_next || m_wantsNewest);
 }
 
 } // namespace monsoonsail
--- a/servers/store/topic_follower.h
+++ b/servers/store/topic_follower.h
@@ -31,7 +31,8 @@
 };
 
 /// Keeps a sink up to date with a topic: reads its newest records, then what follows, and starts
-/// over when records were dropped before they were read.
+/// over when records were dropped before they were read. While others follow the topic for it, it
+/// only reads the newest records now and then.
 class TopicFollower
 {
 public:
@@ -39,6 +40,7 @@
     {
         Duration wait{};     ///< How long a read waits for a record.
         Duration interval{}; ///< From the start of one read to the start of the next, at least.
+        Duration passiveInterval{}; ///< The same while others follow the topic.
     };
     /// Returns the current instant and calls a task later.
     struct Scheduler
@@ -52,6 +54,11 @@
                   Scheduler scheduler, DecisionLog &decisions);
 
     void start() { readNewest(); }
+    /// Sets whether to follow the topic, or to leave that to others.
+    void setActive(bool active);
+    /// Reads the newest records soon.
+    void refresh();
+    bool isActive() const { return m_active; }
 
 private:
     void readNewest();
@@ -60,6 +67,9 @@
     void handleRead(std::error_code error, const LogRecords &records);
     void retry(std::error_code error);
     void succeeded();
+    void goOn();
+    /// Has the next step taken at `at`, in place of the one that was planned.
+    void plan(Instant at, bool newest);
 
     const std::string m_topic;
     const Pace m_pace;
@@ -71,6 +81,10 @@
     std::set<std::string> m_keys;    ///< Keys that have a value.
     Instant m_startedAt;             ///< Start of the current read.
     unsigned m_failures = 0;         ///< In a row.
+    bool m_active = true;
+    bool m_busy = false;       ///< Whether a call is under way.
+    bool m_wantsNewest = false; ///< Whether refresh() was called during it.
+    unsigned m_plan = 0;       ///< Number of the planned step; an earlier one is dropped.
 };
 
 } // namespace monsoonsail
