Hand out allowances by equal parts after a start

Traced with a line for each request let through: 26 instances started at once after the herd kill, each took itself for the only one and let through 1.1 M within 0.3 s. Before that, large requests were drawn for at every attempt instead of once for each part.

Change: until digests can tell the demand on the others (3 s), every instance hands out an equal part, by the instances that the store names; large requests are drawn for once a part; the use recorded in the store counts a tenth more for the second that it lacks.

--- a/servers/allowance/allowance_ledger.cpp
+++ b/servers/allowance/allowance_ledger.cpp
@@ -23,6 +23,10 @@
 /// Part of the limit that a process assumes to have been used evenly before its start if it can't
 /// know. What becomes free each second is still more than most accounts ask for.
 constexpr double usedBeforeStart = 0.95;
+/// Part that is added to a recorded use: records are a second apart, an eighth of today's window.
+constexpr double recordGapPart = 0.1;
+/// Time from the start until digests tell how much is asked of the others.
+constexpr Duration youngTime = std::chrono::seconds(3);
 /// Steps in which that is forgotten again.
 constexpr int startSteps = 16;
 /// A peer's digests count from its start while it is this young; later its earlier use is over.
@@ -84,10 +88,12 @@
     // A record that is older than a window tells nothing but that there was little use since.
     if (now - writtenAt > m_rules.window)
         return;
-    *m_recovered = uses;
+    // What was used after the record was written is counted like what was used before.
+    for (const auto &[account, use] : uses)
+        (*m_recovered)[account] = use * (1 + recordGapPart);
     for (auto &[account, entry] : m_entries) {
-        const auto known = uses.find(account);
-        const double used = known == uses.end() ? entry.limit * muchUsed : known->second;
+        const auto known = m_recovered->find(account);
+        const double used = known == m_recovered->end() ? entry.limit * muchUsed : known->second;
         // The entry was made with the assumption that nothing is known.
         assumeUsed(entry, used - entry.limit * usedBeforeStart, now);
     }
@@ -117,7 +123,7 @@
         // A request that is larger than the limit goes through when nothing else has been used.
         const double counted = std::min(amount, entry.limit);
         const double left = entry.limit - entry.used.sum();
-        if (counted > left || !isWithinPart(entry, left, counted)) {
+        if (counted > left || !isWithinPart(entry, left, counted, now)) {
             const Instant free = entry.used.fallsTo(entry.limit - counted, now);
             return std::clamp(free, now + leastRetry, now + mostRetry);
         }
@@ -128,18 +134,29 @@
     return std::nullopt;
 }
 
-bool AllowanceLedger::isWithinPart(const Entry &entry, double left, double amount)
+bool AllowanceLedger::isYoung(Instant now) const
+{
+    return !m_startedAt || now < *m_startedAt + youngTime;
+}
+
+bool AllowanceLedger::isWithinPart(Entry &entry, double left, double amount, Instant now)
 {
     const double asked = entry.recentAsked + entry.recentPeerAsked;
     // What the others let through before they hear of this request can't be more than is asked.
-    if (left > asked / demandSeconds * toSeconds(hearing))
+    const bool isKnown = asked > 0 && !isYoung(now);
+    if (isKnown && left > asked / demandSeconds * toSeconds(hearing))
         return true;
     const double equalPart = 1.0 / m_instances;
-    const double part = asked > 0 ? std::max(entry.recentAsked / asked, equalPart / 2) : equalPart;
+    const double part = isKnown ? std::max(entry.recentAsked / asked, equalPart / 2) : equalPart;
     const double mayUse = part * (left + entry.usedHere.sum()) - entry.usedHere.sum();
+    if (amount <= mayUse)
+        return true;
     // Large requests get through by chance, as often as their size allows; otherwise small ones
-    // would use up every part.
-    return amount <= mayUse || m_random.unit() * amount < mayUse;
+    // would use up every part. Each part is drawn for once.
+    if (entry.drawnAt + hearing > now)
+        return false;
+    entry.drawnAt = now;
+    return m_random.unit() * amount < mayUse;
 }
 
 void AllowanceLedger::refund(const AccountId &account, double amount, Instant now)
@@ -181,7 +198,10 @@
 {
     const double seconds = std::clamp(toSeconds(now - m_reservedAt), 0.0, 1.0);
     m_reservedAt = now;
-    m_instances = mesh.instanceCount();
+    if (!m_startedAt)
+        m_startedAt = now;
+    // After a herd kill all instances start at once and have not heard of each other yet.
+    m_instances = isYoung(now) ? mesh.expectedCount() : mesh.instanceCount();
     for (const auto &[name, peer] : mesh.peers()) {
         if (Mesh::isLive(peer, now))
             continue;
--- a/servers/allowance/allowance_ledger.h
+++ b/servers/allowance/allowance_ledger.h
@@ -80,18 +80,22 @@
         double recentAsked = 0; ///< Decay over seconds.
         double recentPeerAsked = 0;
         Instant decayedAt;
+        Instant drawnAt; ///< When a large request was last let through, or not, by chance.
         std::map<std::string, PeerUse> peers;
     };
 
     static void advance(Entry &entry, Instant now);
     void assumeUsed(Entry &entry, double amount, Instant now) const;
-    bool isWithinPart(const Entry &entry, double left, double amount);
+    /// Whether the demand on the other instances can't be known yet.
+    bool isYoung(Instant now) const;
+    bool isWithinPart(Entry &entry, double left, double amount, Instant now);
 
     AllowanceRules m_rules;
     RandomSource m_random;
     std::map<AccountId, Entry> m_entries;
     std::optional<Uses> m_recovered; ///< Use before the start, if it is known.
     unsigned m_instances = 1;
+    std::optional<Instant> m_startedAt; ///< First use of the ledger.
     Instant m_reservedAt;
 };
 
--- a/servers/mesh/mesh.cpp
+++ b/servers/mesh/mesh.cpp
@@ -107,6 +107,18 @@
     return addresses;
 }
 
+unsigned Mesh::expectedCount() const
+{
+    std::size_t count = m_peers.size() + 1;
+    for (const auto &[address, candidate] : m_candidates) {
+        const bool isPeer = std::ranges::any_of(m_peers, [&address](const auto &entry) {
+            return entry.second.digest.address == address;
+        });
+        count += isPeer ? 0 : 1;
+    }
+    return static_cast<unsigned>(count);
+}
+
 Duration Mesh::clockCorrection() const
 {
     std::vector<Duration> offsets{Duration::zero()};
--- a/servers/mesh/mesh.h
+++ b/servers/mesh/mesh.h
@@ -41,6 +41,9 @@
     static bool isLive(const Peer &peer, Instant now);
     /// Returns the entry instances that count: this one, and every peer that may still be serving.
     unsigned instanceCount() const { return static_cast<unsigned>(m_peers.size()) + 1; }
+    /// Returns the entry instances that may be there, those included that have only been heard of
+    /// and may have just started as well.
+    unsigned expectedCount() const;
     /// Returns the addresses of the live peers.
     std::vector<std::string> liveAddresses(Instant now) const;
     /// Returns what to add to our clock to get the time that most instances agree on.
