Treat a drop after a lost call as final

One lost call to the store counted as an outage: what was dropped in the read after it stayed usable for 1.8 s, on top of the 1.3 s for which the lost call had hidden the drop. Change: a drop stays usable only if the store was away for two heartbeats or more, which is the least in which an entry can lapse. The heartbeat comes from the platform's settings. Ruled out: slow spreading of the news.

--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -74,6 +74,7 @@
         fleet.onDemandUse = table.number("on_demand_use", 0.01, 1, fleet.onDemandUse);
         fleet.slotUse = table.number("slot_use", 0.01, 1, fleet.slotUse);
     });
+    settings.limits.heartbeat = seconds(reader.number("heartbeat_ms", 1, maxMs, 1200) / 1000);
     settings.limits.drainTime = seconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
     settings.limits.dutyLease = seconds(reader.number("duty_lease_ms", 0, maxMs, 3000) / 1000);
     reader.finish();
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -10,6 +10,9 @@
 /// reach an endpoint that has left later than 2 s after that.
 constexpr Duration lapseTime = std::chrono::milliseconds(1800);
 
+/// Entries lapse after three silent heartbeats; the first of them may just have been due.
+constexpr int heartbeatsToLapse = 2;
+
 std::string_view stateName(EndpointState state)
 {
     switch (state) {
@@ -46,8 +49,7 @@
 
 void EndpointFeed::dropped(const std::string &key, Instant now)
 {
-    // Entries can lapse while the store is away, although their endpoints live.
-    const Instant lapseEnd = m_isInterrupted ? now + lapseTime : m_lapseEnd;
+    const Instant lapseEnd = mayHaveLapsed(now) ? now + lapseTime : m_lapseEnd;
     m_context.endpoints.unlisted(key, lapseEnd, now);
 }
 
@@ -56,8 +58,9 @@
     m_context.endpointsAsOf = asOf;
     if (std::exchange(m_hasNews, false) && m_newsHandler)
         m_newsHandler();
-    if (std::exchange(m_isInterrupted, false))
+    if (mayHaveLapsed(now))
         m_lapseEnd = now + lapseTime;
+    m_interruptedSince.reset();
     for (const EndpointId &endpoint : m_context.endpoints.forget(now)) {
         m_context.enginePlacer->removed(endpoint);
         m_context.servicePlacer->removed(endpoint);
@@ -66,9 +69,19 @@
     }
 }
 
-void EndpointFeed::interrupted(std::error_code /*error*/, Instant /*now*/)
+void EndpointFeed::interrupted(std::error_code /*error*/, Instant since, Instant /*now*/)
+{
+    if (!m_interruptedSince)
+        m_interruptedSince = since;
+}
+
+// Entries lapse while the store is away, although their endpoints live. A call or two that were
+// lost on their way do not make them lapse, and using what was dropped meanwhile would let requests
+// reach endpoints that have left.
+bool EndpointFeed::mayHaveLapsed(Instant now) const
 {
-    m_isInterrupted = true;
+    return m_interruptedSince
+            && *m_interruptedSince + m_context.limits.heartbeat * heartbeatsToLapse <= now;
 }
 
 void EndpointFeed::stateChanged(const Endpoint &endpoint)
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -5,6 +5,7 @@
 #include "servers/store/topic_follower.h"
 
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace monsoonsail {
@@ -21,16 +22,18 @@
     void changed(const LogRecord &record, Instant now) override;
     void dropped(const std::string &key, Instant now) override;
     void current(Instant asOf, Instant now) override;
-    void interrupted(std::error_code error, Instant now) override;
+    void interrupted(std::error_code error, Instant since, Instant now) override;
 
 private:
+    /// Tells whether the store has been away for so long that entries may have lapsed.
+    bool mayHaveLapsed(Instant now) const;
     void stateChanged(const Endpoint &endpoint);
 
     ServingContext &m_context;
     const SiteCodec &m_codec;
     std::function<void()> m_newsHandler;
     bool m_hasNews = false;
-    bool m_isInterrupted = false;
+    std::optional<Instant> m_interruptedSince; ///< Begin of the first of the calls that failed.
     Instant m_lapseEnd = Instant::min(); ///< Until then entries may be missing by a lapse only.
 };
 
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -15,6 +15,8 @@
     FleetPolicy fleet;
     /// Age of the configuration beyond which it may no longer be the newest one.
     Duration configurationAge = std::chrono::milliseconds(2000);
+    Duration heartbeat =
+            std::chrono::milliseconds(1200);        ///< Endpoints renew their entries so often.
     Duration drainTime = std::chrono::seconds(2);   ///< Leaving endpoints serve on so long.
     Duration usageWindow = std::chrono::seconds(5); ///< Length of a metering window.
     Duration usageDue = std::chrono::seconds(10);   ///< From its end until its report is due.
--- a/servers/site/configuration_feed.h
+++ b/servers/site/configuration_feed.h
@@ -18,7 +18,7 @@
     void changed(const LogRecord &record, Instant now) override;
     void dropped(const std::string & /*key*/, Instant /*now*/) override { }
     void current(Instant asOf, Instant now) override;
-    void interrupted(std::error_code /*error*/, Instant /*now*/) override { }
+    void interrupted(std::error_code /*error*/, Instant /*since*/, Instant /*now*/) override { }
 
     /// Puts a configuration in force unless it is older than the one that is.
     void offer(std::shared_ptr<const SiteConfiguration> configuration, std::string_view source,
--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -153,7 +153,7 @@
                           {{"topic", m_topic}, {"error", error.message()}});
     }
     ++m_failures;
-    m_sink.interrupted(error, now);
+    m_sink.interrupted(error, m_startedAt, now);
     const Duration pause = std::min(firstRetry * m_failures, longestRetry);
     plan(now + pause, !m_next || m_wantsNewest);
 }
--- a/servers/store/topic_follower.h
+++ b/servers/store/topic_follower.h
@@ -26,8 +26,8 @@
     virtual void dropped(const std::string &key, Instant now) = 0;
     /// Everything up to `asOf` has been told.
     virtual void current(Instant asOf, Instant now) = 0;
-    /// The store could not be read.
-    virtual void interrupted(std::error_code error, Instant now) = 0;
+    /// The store could not be read, by a call begun at `since`.
+    virtual void interrupted(std::error_code error, Instant since, Instant now) = 0;
 };
 
 /// Keeps a sink up to date with a topic: reads its newest records, then what follows, and starts
--- a/tests/servers/topic_follower_test.cpp
+++ b/tests/servers/topic_follower_test.cpp
@@ -25,7 +25,10 @@
     }
     void dropped(const std::string &key, Instant /*now*/) override { values.erase(key); }
     void current(Instant newAsOf, Instant /*now*/) override { asOf = newAsOf; }
-    void interrupted(std::error_code /*error*/, Instant /*now*/) override { ++interruptions; }
+    void interrupted(std::error_code /*error*/, Instant /*since*/, Instant /*now*/) override
+    {
+        ++interruptions;
+    }
 
     std::map<std::string, std::string> values;
     Instant asOf;
