Serve metrics by prometheus-cpp

Cause: the settings named a metrics address that nothing listened on. Change: counters of refusals and attempts, histograms of answers by account and route, and gauges of what the instance believes, at /metrics. Link no library that nothing uses.

--- /dev/null
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -0,0 +1,128 @@
+#include "drivers/metrics/prometheus_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr const char *accountLabel = "account";
+constexpr const char *routeLabel = "route";
+
+/// Seconds; from a quick lookup up to the longest time limit of a route, so that each goal of a
+/// site lies between two bounds that differ by a factor of two or less.
+const prometheus::Histogram::BucketBoundaries &latencyBounds()
+{
+    static const prometheus::Histogram::BucketBoundaries bounds{
+            0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.35, 0.6, 1.2, 2, 4, 8, 16, 32};
+    return bounds;
+}
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+template <typename Series, typename Make>
+Series &seriesOf(std::map<std::pair<std::string, std::string>, Series *> &known,
+                 std::string_view first, std::string_view second, Make make)
+{
+    Series *&series = known[{std::string(first), std::string(second)}];
+    if (series == nullptr)
+        series = &make();
+    return *series;
+}
+
+} // namespace
+
+PrometheusMetrics::PrometheusMetrics()
+    : m_totalFamily(prometheus::BuildHistogram()
+                            .Name("monsoonsail_request_seconds")
+                            .Help("Time from the arrival of a request to the end of its answer")
+                            .Register(m_registry))
+    , m_firstFamily(prometheus::BuildHistogram()
+                            .Name("monsoonsail_first_byte_seconds")
+                            .Help("Time from the arrival of a request to the begin of its answer")
+                            .Register(m_registry))
+    , m_pauseFamily(prometheus::BuildHistogram()
+                            .Name("monsoonsail_longest_pause_seconds")
+                            .Help("Longest time between two events of a stream")
+                            .Register(m_registry))
+    , m_refusalFamily(prometheus::BuildCounter()
+                              .Name("monsoonsail_refusals_total")
+                              .Help("Requests that got an error, by account and kind")
+                              .Register(m_registry))
+    , m_attemptFamily(prometheus::BuildCounter()
+                              .Name("monsoonsail_attempts_total")
+                              .Help("Attempts on endpoints, by service and result")
+                              .Register(m_registry))
+{ }
+
+void PrometheusMetrics::answered(std::string_view route, std::string_view account, Duration first,
+                                 Duration total)
+{
+    // One label each: a series for each pair of route and account would take too much memory.
+    seriesOf(
+            m_first, route, {},
+            [&]() -> auto & {
+                return m_firstFamily.Add({{routeLabel, std::string(route)}}, latencyBounds());
+            })
+            .Observe(toSeconds(first));
+    seriesOf(
+            m_total, account, {},
+            [&]() -> auto & {
+                return m_totalFamily.Add({{accountLabel, std::string(account)}}, latencyBounds());
+            })
+            .Observe(toSeconds(total));
+}
+
+void PrometheusMetrics::paused(std::string_view route, Duration longest)
+{
+    seriesOf(
+            m_pauses, route, {},
+            [&]() -> auto & {
+                return m_pauseFamily.Add({{routeLabel, std::string(route)}}, latencyBounds());
+            })
+            .Observe(toSeconds(longest));
+}
+
+void PrometheusMetrics::refused(std::string_view account, ErrorKind kind)
+{
+    const std::string_view name = errorAnswer(kind).name;
+    seriesOf(
+            m_refusals, account, name,
+            [&]() -> auto & {
+                return m_refusalFamily.Add(
+                        {{accountLabel, std::string(account)}, {"kind", std::string(name)}});
+            })
+            .Increment();
+}
+
+void PrometheusMetrics::attemptEnded(std::string_view service, AttemptResult result)
+{
+    const std::string_view name = attemptResultName(result);
+    seriesOf(
+            m_attempts, service, name,
+            [&]() -> auto & {
+                return m_attemptFamily.Add(
+                        {{"service", std::string(service)}, {"result", std::string(name)}});
+            })
+            .Increment();
+}
+
+void PrometheusMetrics::setGauge(const std::string &name, const std::string &help, double value)
+{
+    prometheus::Gauge *&gauge = m_gauges[name];
+    if (gauge == nullptr)
+        gauge = &prometheus::BuildGauge().Name(name).Help(help).Register(m_registry).Add({});
+    gauge->Set(value);
+}
+
+std::string PrometheusMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/drivers/metrics/prometheus_metrics.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "servers/ports/serving_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace monsoonsail {
+
+/// Counters and latency histograms of one process, and gauges of what it believes.
+class PrometheusMetrics : public ServingMetrics
+{
+public:
+    PrometheusMetrics();
+
+    void answered(std::string_view route, std::string_view account, Duration first,
+                  Duration total) override;
+    void paused(std::string_view route, Duration longest) override;
+    void refused(std::string_view account, ErrorKind kind) override;
+    void attemptEnded(std::string_view service, AttemptResult result) override;
+
+    /// Sets a gauge by its full name.
+    void setGauge(const std::string &name, const std::string &help, double value);
+    /// Returns everything in the Prometheus text format.
+    std::string text() const;
+
+private:
+    using Histograms = prometheus::Family<prometheus::Histogram>;
+    using Counters = prometheus::Family<prometheus::Counter>;
+    /// Series by the values of their labels; finding them in a family hashes all label texts.
+    template <typename Series>
+    using SeriesMap = std::map<std::pair<std::string, std::string>, Series *>;
+
+    prometheus::Registry m_registry;
+    Histograms &m_totalFamily;
+    Histograms &m_firstFamily;
+    Histograms &m_pauseFamily;
+    Counters &m_refusalFamily;
+    Counters &m_attemptFamily;
+    SeriesMap<prometheus::Histogram> m_total;
+    SeriesMap<prometheus::Histogram> m_first;
+    SeriesMap<prometheus::Histogram> m_pauses;
+    SeriesMap<prometheus::Counter> m_refusals;
+    SeriesMap<prometheus::Counter> m_attempts;
+    std::map<std::string, prometheus::Gauge *> m_gauges;
+};
+
+} // namespace monsoonsail
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -51,7 +51,7 @@
     , m_loop(loop)
     , m_logs(logs)
     , m_log(logs, loop.clock(), settings.instance, incarnation)
-    , m_context(settings.limits, ZoneId(settings.zone), incarnation, traffic, m_log)
+    , m_context(settings.limits, ZoneId(settings.zone), incarnation, traffic, m_log, m_metrics)
     , m_core(m_context)
     , m_http(loop)
     , m_store(m_http, loop.clock(), settings.storeAddress)
@@ -109,6 +109,12 @@
     m_readyServer.emplace(
             m_loop, m_settings.readyListen,
             [this](const RequestHead &head, std::string_view /*body*/) { return answer(head); });
+    if (!m_settings.metricsListen.empty()) {
+        m_metricsServer.emplace(m_loop, m_settings.metricsListen,
+                                [this](const RequestHead &head, std::string_view /*body*/) {
+                                    return answerMetrics(head);
+                                });
+    }
     m_allowanceJournal.recover();
     m_configurationFollower.start();
     m_endpointFollower.start();
@@ -183,6 +189,35 @@
     return {.status = statusNotFound, .body = "not found\n"};
 }
 
+LocalServer::Answer ControlPlane::answerMetrics(const RequestHead &head)
+{
+    if (head.target != "/metrics")
+        return {.status = statusNotFound, .body = "not found\n"};
+    const Instant now = m_loop.now();
+    const auto ageOf = [now](Instant asOf) {
+        return std::chrono::duration<double>(now - asOf).count();
+    };
+    const auto usable = std::ranges::count_if(m_context.endpoints.all(), [now](const auto &entry) {
+        return entry.second.isUsable(now);
+    });
+    m_metrics.setGauge("monsoonsail_requests", "Requests in progress",
+                       static_cast<double>(m_core.requestCount()));
+    m_metrics.setGauge("monsoonsail_usable_endpoints", "Endpoints that may be given work",
+                       static_cast<double>(usable));
+    m_metrics.setGauge("monsoonsail_peers", "Entry instances that were heard of lately",
+                       static_cast<double>(m_mesh.expectedCount()));
+    m_metrics.setGauge(
+            "monsoonsail_configuration_revision", "Revision in force, 0 before the first",
+            m_context.configuration ? static_cast<double>(m_context.configuration->revision()) : 0);
+    m_metrics.setGauge("monsoonsail_configuration_age_seconds",
+                       "Time since the configuration was known to be the newest",
+                       ageOf(m_context.configurationAsOf));
+    m_metrics.setGauge("monsoonsail_endpoints_age_seconds",
+                       "Time since all changes of endpoints were known",
+                       ageOf(m_context.endpointsAsOf));
+    return {.contentType = "text/plain; version=0.0.4", .body = m_metrics.text()};
+}
+
 bool ControlPlane::isReady() const
 {
     return m_context.configuration != nullptr && !m_stopping;
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -4,6 +4,7 @@
 #include "drivers/logging/json_decision_log.h"
 #include "drivers/loop/event_loop.h"
 #include "drivers/mesh/digest_socket.h"
+#include "drivers/metrics/prometheus_metrics.h"
 #include "drivers/settings/serving_settings.h"
 #include "drivers/traffic/local_server.h"
 #include "platform/duty_client.h"
@@ -54,6 +55,7 @@
 private:
     TopicFollower::Scheduler scheduler();
     LocalServer::Answer answer(const RequestHead &head) const;
+    LocalServer::Answer answerMetrics(const RequestHead &head);
     bool isReady() const;
     void armTimer();
     void expire();
@@ -71,6 +73,7 @@
     EventLoop &m_loop;
     LogWriter &m_logs;
     JsonDecisionLog m_log;
+    PrometheusMetrics m_metrics;
     ServingContext m_context;
     ServingCore m_core;
     CurlClient m_http;
@@ -90,6 +93,7 @@
     FleetManager m_fleet;
     AllowanceJournal m_allowanceJournal;
     std::optional<LocalServer> m_readyServer;
+    std::optional<LocalServer> m_metricsServer; ///< Only if the settings name an address.
     TimerQueue::Handle m_timer;
     TimerQueue::Handle m_tickTimer;
     TimerQueue::Handle m_digestTimer;
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -3,9 +3,9 @@
 set -euo pipefail
 packages=(
   cmake g++ make ninja-build pkg-config ccache clang-format clang-tidy curl
-  libpistache-dev libjsonrpccpp-dev libjsoncpp-dev prometheus-cpp-dev libcurl4-openssl-dev
+  libpistache-dev prometheus-cpp-dev libcurl4-openssl-dev
   libssl-dev libabsl-dev libgoogle-glog-dev libcppunit-dev libtomlplusplus-dev
-  libboost-dev nlohmann-json3-dev libxxhash-dev libasan8 libtsan2 gnuplot-nox
+  libboost-dev nlohmann-json3-dev libxxhash-dev libasan8 libtsan2
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -17,11 +17,12 @@
 
 ServingContext::ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
                                const std::string &incarnation, TrafficPort &trafficPort,
-                               DecisionLog &decisionLog)
+                               DecisionLog &decisionLog, ServingMetrics &servingMetrics)
     : limits(servingLimits)
     , zone(std::move(ownZone))
     , traffic(trafficPort)
     , log(decisionLog)
+    , metrics(servingMetrics)
     , random(stableHash(incarnation))
     , work(limits.fleet)
     , enginePlacer(std::make_unique<EnginePlacer>(watch, work, stableHash(incarnation, engineSeed)))
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -10,6 +10,7 @@
 #include "servers/metering/usage_meter.h"
 #include "servers/placement/placer.h"
 #include "servers/ports/decision_log.h"
+#include "servers/ports/serving_metrics.h"
 #include "servers/ports/traffic_port.h"
 #include "servers/retry/repeat_budget.h"
 #include "servers/serving/serving_limits.h"
@@ -25,7 +26,7 @@
 {
     ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
                    const std::string &incarnation, TrafficPort &trafficPort,
-                   DecisionLog &decisionLog);
+                   DecisionLog &decisionLog, ServingMetrics &servingMetrics);
     ServingContext(const ServingContext &) = delete;
     ServingContext &operator=(const ServingContext &) = delete;
 
@@ -44,6 +45,7 @@
     const ZoneId zone;
     TrafficPort &traffic;
     DecisionLog &log;
+    ServingMetrics &metrics;
     RandomSource random;
     EndpointRegistry endpoints;
     EndpointWatch watch;
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -29,6 +29,11 @@
 constexpr Duration movedStreamEnd = std::chrono::milliseconds(150);
 constexpr int firstServerErrorStatus = 500;
 
+std::string_view accountName(const RequestRecord &record)
+{
+    return record.account != nullptr ? record.account->name.view() : std::string_view();
+}
+
 double toMs(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -170,6 +175,7 @@
                          {"status", static_cast<std::int64_t>(end.status)},
                          {"reason", end.reason},
                          {"reused", end.connectionReused}});
+    m_context.metrics.attemptEnded(record.service->name.view(), end.result);
     if (end.result == AttemptResult::Misdirected)
         m_context.endpoints.leaving(attempt.endpoint, now);
     if (didNotRun) {
@@ -199,6 +205,10 @@
                          {"longest_pause_ms", toMs(record.longestPause)},
                          {"repeats", toLog(record.repeats)},
                          {"prompt_tokens", toLog(record.arrival.promptTokens.value_or(0))}});
+    m_context.metrics.answered(record.route->name, accountName(record),
+                               first - record.arrival.arrivedAt, now - record.arrival.arrivedAt);
+    if (record.isStreaming)
+        m_context.metrics.paused(record.route->name, record.longestPause);
     m_launcher.stopAll(record, EndpointVerdict::Unrelated, now);
     if (end.result == AttemptResult::Streamed)
         m_context.traffic.finish(end.request);
@@ -249,6 +259,7 @@
     if (record.failureAnswer != 0 && !record.isStreaming) {
         m_context.log.write(LogLevel::Warning, "failure-passed-on", record.arrival.callerId,
                             {{"attempt", toLog(record.failureAnswer)}, {"cause", cause}});
+        m_context.metrics.refused(accountName(record), ErrorKind::EndpointFailed);
         m_context.traffic.deliver(record.arrival.number, record.failureAnswer);
         erase(record);
         return;
@@ -273,9 +284,9 @@
             LogLevel::Warning, "request-refused", record.arrival.callerId,
             {{"kind", answer.name},
              {"cause", cause},
-             {"account",
-              record.account != nullptr ? record.account->name.view() : std::string_view()},
+             {"account", accountName(record)},
              {"revision", toLog(record.configuration ? record.configuration->revision() : 0)}});
+    m_context.metrics.refused(accountName(record), kind);
     if (!record.mayHaveRun && record.account != nullptr)
         m_context.allowances.refund(record.account->name, record.charge, now);
     m_context.traffic.refuse({.request = record.arrival.number, .kind = kind, .retryAt = retryAt});
--- /dev/null
+++ b/tests/drivers/prometheus_metrics_test.cpp
@@ -0,0 +1,59 @@
+#include "drivers/metrics/prometheus_metrics.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+
+/// Guards the names that dashboards and OPERATIONS.md rely on.
+class PrometheusMetricsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PrometheusMetricsTest);
+    CPPUNIT_TEST(answersFillHistogramsByRouteAndAccount);
+    CPPUNIT_TEST(refusalsAreCountedByAccountAndKind);
+    CPPUNIT_TEST(gaugeKeepsItsNewestValue);
+    CPPUNIT_TEST_SUITE_END();
+
+    PrometheusMetrics m_metrics;
+
+    void assertHas(const std::string &line) const
+    {
+        const std::string text = m_metrics.text();
+        CPPUNIT_ASSERT_MESSAGE(line + " is missing in:\n" + text,
+                               text.find(line + "\n") != std::string::npos);
+    }
+
+public:
+    void answersFillHistogramsByRouteAndAccount()
+    {
+        m_metrics.answered("lookup", "club", milliseconds(50), milliseconds(300));
+        m_metrics.answered("lookup", "club", milliseconds(90), milliseconds(300));
+        m_metrics.answered("lookup", "range", milliseconds(90), milliseconds(700));
+        m_metrics.paused("lookup", milliseconds(10));
+        assertHas(R"(monsoonsail_first_byte_seconds_bucket{route="lookup",le="0.08"} 1)");
+        assertHas(R"(monsoonsail_first_byte_seconds_count{route="lookup"} 3)");
+        assertHas(R"(monsoonsail_request_seconds_count{account="club"} 2)");
+        assertHas(R"(monsoonsail_request_seconds_bucket{account="range",le="0.6"} 0)");
+        assertHas(R"(monsoonsail_longest_pause_seconds_count{route="lookup"} 1)");
+    }
+
+    void refusalsAreCountedByAccountAndKind()
+    {
+        m_metrics.refused("club", ErrorKind::NoEndpoint);
+        m_metrics.refused("club", ErrorKind::NoEndpoint);
+        const std::string kind(errorAnswer(ErrorKind::NoEndpoint).name);
+        assertHas(R"(monsoonsail_refusals_total{account="club",kind=")" + kind + "\"} 2");
+    }
+
+    void gaugeKeepsItsNewestValue()
+    {
+        m_metrics.setGauge("monsoonsail_requests", "Requests in progress", 3);
+        m_metrics.setGauge("monsoonsail_requests", "Requests in progress", 2);
+        assertHas("monsoonsail_requests 2");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrometheusMetricsTest);
--- a/tests/servers/serving_bench.cpp
+++ b/tests/servers/serving_bench.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 ServingBench::ServingBench()
-    : context(limits(), ZoneId("zvolen"), "entry.1", traffic, log)
+    : context(limits(), ZoneId("zvolen"), "entry.1", traffic, log, metrics)
     , core(context)
 {
     publish({account(0, 0)}, 1);
--- a/tests/servers/serving_bench.h
+++ b/tests/servers/serving_bench.h
@@ -3,6 +3,7 @@
 #include "servers/serving/serving_core.h"
 #include "tests/servers/recording_traffic.h"
 #include "tests/servers/silent_log.h"
+#include "tests/servers/silent_metrics.h"
 
 #include <memory>
 #include <string>
@@ -38,6 +39,7 @@
     Instant now = instantFromMicroseconds(1'000'000'000);
     RecordingTraffic traffic;
     SilentLog log;
+    SilentMetrics metrics;
     ServingContext context;
     ServingCore core;
 
--- a/tests/servers/serving_core_test.cpp
+++ b/tests/servers/serving_core_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(misdirectedRequestMarksTheEndpoint);
     CPPUNIT_TEST(repeatsStayWithinTheBudget);
     CPPUNIT_TEST(stoppingInstanceRefusesNewRequests);
+    CPPUNIT_TEST(answersAndRefusalsAreMeasured);
     CPPUNIT_TEST_SUITE_END();
 
     ServingBench m_bench;
@@ -209,6 +210,19 @@
         m_bench.arrive("/book/1");
         CPPUNIT_ASSERT(m_bench.lastRefusal() == ErrorKind::Stopping);
     }
+
+    void answersAndRefusalsAreMeasured()
+    {
+        const RequestNumber answered = m_bench.arrive("/look/a");
+        m_bench.end(answered, AttemptResult::Answered);
+        CPPUNIT_ASSERT_EQUAL(1U, m_bench.metrics.answers);
+        CPPUNIT_ASSERT_EQUAL(0U, m_bench.metrics.pauses);
+        const RequestNumber failed = m_bench.arrive("/book/a");
+        m_bench.end(failed, AttemptResult::Interrupted);
+        CPPUNIT_ASSERT_EQUAL(2U, m_bench.metrics.attempts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_bench.metrics.refusals.size());
+        CPPUNIT_ASSERT(m_bench.metrics.refusals.front() == m_bench.lastRefusal());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServingCoreTest);
--- /dev/null
+++ b/tests/servers/silent_metrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "servers/ports/serving_metrics.h"
+
+#include <vector>
+
+namespace monsoonsail {
+
+/// Counts what it is told.
+class SilentMetrics : public ServingMetrics
+{
+public:
+    void answered(std::string_view /*route*/, std::string_view /*account*/, Duration /*first*/,
+                  Duration /*total*/) override
+    {
+        ++answers;
+    }
+    void paused(std::string_view /*route*/, Duration /*longest*/) override { ++pauses; }
+    void refused(std::string_view /*account*/, ErrorKind kind) override
+    {
+        refusals.push_back(kind);
+    }
+    void attemptEnded(std::string_view /*service*/, AttemptResult /*result*/) override
+    {
+        ++attempts;
+    }
+
+    unsigned answers = 0;
+    unsigned pauses = 0;
+    unsigned attempts = 0;
+    std::vector<ErrorKind> refusals;
+};
+
+} // namespace monsoonsail
