--- a/tests/drivers/traffic_test.cpp
+++ b/tests/drivers/traffic_test.cpp
@@ -1,7 +1,7 @@
 #include "drivers/traffic/traffic.h"
-#include "tests/drivers/loop_thread.h"
+#include "tests/support/loop_thread.h"
 #include "tests/drivers/plain_codec.h"
-#include "tests/drivers/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
--- /dev/null
+++ b/tests/platform/http_codec_test.cpp
@@ -0,0 +1,181 @@
+#include "platform/http_codec.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+using namespace monsoonsail;
+using namespace monsoonsail::platform;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Guards what callers' and endpoints' header fields mean, and which of them are passed on.
+class HttpCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpCodecTest);
+    CPPUNIT_TEST(requestIsDescribed);
+    CPPUNIT_TEST(unreadableFieldsAreLeftOut);
+    CPPUNIT_TEST(promptPartsEndAtTheFirstUnreadableOne);
+    CPPUNIT_TEST(requestWithoutOneHostIsMalformed);
+    CPPUNIT_TEST(ownedAndHopFieldsAreNotForwarded);
+    CPPUNIT_TEST(attemptSetsItsFields);
+    CPPUNIT_TEST(pastDeadlineIsForwardedAsPositive);
+    CPPUNIT_TEST(answerTraitsAreRead);
+    CPPUNIT_TEST(moveEndsAreRead);
+    CPPUNIT_TEST_SUITE_END();
+
+    HttpCodec m_codec;
+    RequestHead m_head{.method = "POST", .target = "/review/7?x=1"};
+    RequestArrival m_arrival;
+    const Instant m_now = instantFromMicroseconds(5'000'000);
+
+    void describe()
+    {
+        m_arrival = RequestArrival();
+        m_arrival.arrivedAt = m_now;
+        CPPUNIT_ASSERT(m_codec.describe(m_head, m_arrival) == ErrorKind::None);
+    }
+    std::string forwarded(const AttemptStart &attempt, std::size_t bodyBytes = 0) const
+    {
+        std::string output;
+        m_codec.writeForwarded(m_head, attempt, bodyBytes, m_now, output);
+        CPPUNIT_ASSERT(output.ends_with("\r\n\r\n"));
+        return output;
+    }
+    static bool has(const std::string &text, const std::string &part)
+    {
+        return text.find(part) != std::string::npos;
+    }
+    RunMoveEnd moveEnd(int status, std::string_view body) const
+    {
+        RunMoveEnd end;
+        m_codec.readMove(status, body, end);
+        return end;
+    }
+
+public:
+    void setUp() override { m_head.fields.add("Host", "club.example:8080"); }
+
+    void requestIsDescribed()
+    {
+        m_head.fields.add("X-Attempt-Id", "a-1");
+        m_head.fields.add("authorization", "Token secret");
+        m_head.fields.add("X-Deadline-Ms", "1500");
+        m_head.fields.add("X-Model", "m1");
+        m_head.fields.add("X-Token-Counts", "120,40");
+        m_head.fields.add("X-Length-Hint", "30");
+        m_head.fields.add("X-Prompt-Prefix", "ff:100,0a:20");
+        m_head.fields.add("Last-Event-Id", "6");
+        describe();
+        CPPUNIT_ASSERT_EQUAL(std::string("a-1"), m_arrival.callerId);
+        CPPUNIT_ASSERT_EQUAL(std::string("club.example"), m_arrival.host);
+        CPPUNIT_ASSERT_EQUAL(std::string("/review/7"), m_arrival.path);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), m_arrival.apiKey);
+        CPPUNIT_ASSERT(m_arrival.callerDeadline == m_now + milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(120U, unsigned(m_arrival.promptTokens.value()));
+        CPPUNIT_ASSERT_EQUAL(40U, unsigned(m_arrival.maxOutputTokens));
+        CPPUNIT_ASSERT_EQUAL(30U, unsigned(m_arrival.expectedOutputTokens));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_arrival.promptParts.size());
+        CPPUNIT_ASSERT(m_arrival.promptParts[0].id == 0xff);
+        CPPUNIT_ASSERT_EQUAL(20U, unsigned(m_arrival.promptParts[1].tokens));
+        CPPUNIT_ASSERT(m_arrival.resumeAfter == EventId(6));
+    }
+
+    void unreadableFieldsAreLeftOut()
+    {
+        m_head.fields.add("Authorization", "Basic secret");
+        m_head.fields.add("X-Deadline-Ms", "soon");
+        m_head.fields.add("X-Token-Counts", "120");
+        m_head.fields.add("Last-Event-Id", "-1");
+        describe();
+        CPPUNIT_ASSERT(m_arrival.apiKey.empty());
+        CPPUNIT_ASSERT(!m_arrival.callerDeadline);
+        CPPUNIT_ASSERT(!m_arrival.promptTokens);
+        CPPUNIT_ASSERT(!m_arrival.resumeAfter);
+    }
+
+    void promptPartsEndAtTheFirstUnreadableOne()
+    {
+        m_head.fields.add("X-Prompt-Prefix", "ff:100,zz:20,0b:30");
+        describe();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_arrival.promptParts.size());
+    }
+
+    void requestWithoutOneHostIsMalformed()
+    {
+        RequestHead head{.method = "GET", .target = "/"};
+        CPPUNIT_ASSERT(m_codec.describe(head, m_arrival) == ErrorKind::MalformedRequest);
+        head.fields.add("Host", "a");
+        head.fields.add("host", "b");
+        CPPUNIT_ASSERT(m_codec.describe(head, m_arrival) == ErrorKind::MalformedRequest);
+    }
+
+    void ownedAndHopFieldsAreNotForwarded()
+    {
+        for (const char *name : {"Authorization", "X-Tenant", "X-Target-Instance", "Kv-From",
+                                 "Kv-Fetch", "Last-Event-Id", "X-Urgency-Class", "Expect",
+                                 "Keep-Alive", "Transfer-Encoding", "X-Named"})
+            m_head.fields.add(name, "foreign");
+        m_head.fields.add("Connection", "keep-alive, X-Named");
+        m_head.fields.add("X-Attempt-Id", "a-1");
+        m_head.fields.add("Cookie", "c=1");
+        const std::string output = forwarded({.instance = "s1", .deadline = m_now + seconds(1)});
+        CPPUNIT_ASSERT(!has(output, "foreign"));
+        CPPUNIT_ASSERT(!has(output, "Connection"));
+        CPPUNIT_ASSERT(has(output, "X-Attempt-Id: a-1\r\n"));
+        CPPUNIT_ASSERT(has(output, "Cookie: c=1\r\n"));
+        CPPUNIT_ASSERT(has(output, "Host: club.example:8080\r\n"));
+    }
+
+    void attemptSetsItsFields()
+    {
+        AttemptStart attempt{.instance = "s1", .deadline = m_now + milliseconds(900)};
+        attempt.account = AccountId("club");
+        attempt.urgency = 12;
+        attempt.resumeAfter = 4;
+        attempt.cache = {
+                .kind = CacheSource::Kind::Moved, .address = "10.0.0.1:80", .handle = "h1"};
+        const std::string output = forwarded(attempt, 11);
+        CPPUNIT_ASSERT(output.starts_with("POST /review/7?x=1 HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(has(output, "X-Target-Instance: s1\r\n"));
+        CPPUNIT_ASSERT(has(output, "X-Deadline-Ms: 900\r\n"));
+        CPPUNIT_ASSERT(has(output, "X-Tenant: club\r\n"));
+        CPPUNIT_ASSERT(has(output, "X-Urgency-Class: 9\r\n"));
+        CPPUNIT_ASSERT(has(output, "Last-Event-Id: 4\r\n"));
+        CPPUNIT_ASSERT(has(output, "Kv-From: 10.0.0.1:80/h1\r\n"));
+        CPPUNIT_ASSERT(has(output, "Content-Length: 11\r\n"));
+    }
+
+    void pastDeadlineIsForwardedAsPositive()
+    {
+        CPPUNIT_ASSERT(has(forwarded({.instance = "s1", .deadline = m_now - seconds(1)}),
+                           "X-Deadline-Ms: 1\r\n"));
+    }
+
+    void answerTraitsAreRead()
+    {
+        AnswerHead head{.status = 421};
+        head.fields.add("X-Attempt-Id", "a-1");
+        head.fields.add("X-Not-Executed", "1");
+        head.fields.add("Keep-Alive", "timeout=7, max=3");
+        const AnswerTraits traits = m_codec.inspect(head);
+        CPPUNIT_ASSERT(traits.misdirected && traits.notRun);
+        CPPUNIT_ASSERT_EQUAL(std::string("a-1"), traits.callerId.value());
+        CPPUNIT_ASSERT(traits.keepAlive == seconds(7));
+        const AnswerTraits plain = m_codec.inspect({.status = 200});
+        CPPUNIT_ASSERT(!plain.misdirected && !plain.notRun && !plain.callerId && !plain.keepAlive);
+    }
+
+    void moveEndsAreRead()
+    {
+        CPPUNIT_ASSERT(moveEnd(200, R"({"Handle": "h"})").result == RunMoveResult::Moved);
+        CPPUNIT_ASSERT_EQUAL(std::string("h"), moveEnd(200, R"({"Handle": "h"})").handle);
+        CPPUNIT_ASSERT(moveEnd(200, "{}").result == RunMoveResult::Failed);
+        CPPUNIT_ASSERT(moveEnd(404, "").result == RunMoveResult::NotFound);
+        CPPUNIT_ASSERT(moveEnd(503, R"({"Handle": "h"})").result == RunMoveResult::Stopped);
+        CPPUNIT_ASSERT(moveEnd(503, "no JSON").result == RunMoveResult::Failed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpCodecTest);
--- /dev/null
+++ b/tests/platform/record_codec_test.cpp
@@ -0,0 +1,95 @@
+#include "platform/record_codec.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace monsoonsail;
+using namespace monsoonsail::platform;
+using namespace std::string_literals;
+
+namespace {
+
+/// An answered read: end of the partition 9, first retained offset 2, then `records`.
+std::string answer(const std::string &records)
+{
+    return "\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x02"s + records;
+}
+
+} // namespace
+
+/// Guards the framing of records in the platform's store.
+class RecordCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RecordCodecTest);
+    CPPUNIT_TEST(recordWithKeyIsFramed);
+    CPPUNIT_TEST(recordWithoutKeyIsFramed);
+    CPPUNIT_TEST(encodedRecordsAreReadBack);
+    CPPUNIT_TEST(droppedKeyHasNoValue);
+    CPPUNIT_TEST(answerWithoutRecordsEndsWhereItBegan);
+    CPPUNIT_TEST(cutAnswersAreRejected);
+    CPPUNIT_TEST(shortContentIsAValue);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void recordWithKeyIsFramed()
+    {
+        CPPUNIT_ASSERT_EQUAL("\0\0\0\x05\x02"s + "k1ab", encodeRecord("keyed.t", "k1", "ab"));
+    }
+
+    void recordWithoutKeyIsFramed()
+    {
+        CPPUNIT_ASSERT_EQUAL("\0\0\0\x02"s + "ab", encodeRecord("t", "k1", "ab"));
+    }
+
+    void encodedRecordsAreReadBack()
+    {
+        const std::string body =
+                answer(encodeRecord("keyed.t", "a", "1") + encodeRecord("keyed.t", "b", "\0\xff"s));
+        const auto records = decodeRecords("keyed.t", 5, body);
+        CPPUNIT_ASSERT(records);
+        CPPUNIT_ASSERT_EQUAL(LogOffset(2), records->first);
+        CPPUNIT_ASSERT_EQUAL(LogOffset(7), records->end);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), records->records.size());
+        CPPUNIT_ASSERT_EQUAL(LogOffset(6), records->records[1].offset);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), records->records[1].key);
+        CPPUNIT_ASSERT_EQUAL("\0\xff"s, records->records[1].value);
+    }
+
+    void droppedKeyHasNoValue()
+    {
+        const auto records = decodeRecords("keyed.t", 0, answer(encodeRecord("keyed.t", "a", "")));
+        CPPUNIT_ASSERT(records);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), records->records.front().key);
+        CPPUNIT_ASSERT(records->records.front().value.empty());
+    }
+
+    void answerWithoutRecordsEndsWhereItBegan()
+    {
+        const auto records = decodeRecords("t", 5, answer(""));
+        CPPUNIT_ASSERT(records);
+        CPPUNIT_ASSERT_EQUAL(LogOffset(5), records->end);
+        CPPUNIT_ASSERT(records->records.empty());
+    }
+
+    void cutAnswersAreRejected()
+    {
+        const std::string whole = answer(encodeRecord("t", "", "abc"));
+        const std::size_t headSize = answer("").size();
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            if (size != headSize)
+                CPPUNIT_ASSERT(!decodeRecords("t", 0, whole.substr(0, size)));
+        }
+    }
+
+    void shortContentIsAValue()
+    {
+        // The key would be longer than the content.
+        const auto records = decodeRecords("keyed.t", 0, answer("\0\0\0\x02\x09x"s));
+        CPPUNIT_ASSERT(records);
+        CPPUNIT_ASSERT(records->records.front().key.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RecordCodecTest);
--- a/tests/drivers/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -1,4 +1,4 @@
-#include "tests/drivers/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
