Add process tests and a fault soak over real daemons

Change: a stand-in for the platform's store and duties, endpoints behind loopback proxies, callers that keep connections open, and daemons as separate processes; 15 directed tests; a seeded soak that pauses, kills, stops and restarts daemons, takes the store away, and delays, silences, cuts and resets endpoints, all overlapping.

--- /dev/null
+++ b/tests/processes/entry_daemon_test.cpp
@@ -0,0 +1,272 @@
+#include "tests/support/caller.h"
+#include "tests/support/test_site.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <set>
+#include <thread>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds callTimeout{4000};
+/// A published configuration is in force everywhere after this time.
+constexpr seconds configurationBound{2};
+
+/// Returns the whole stream that a caller is to get.
+std::string wholeStream(const std::string &id)
+{
+    std::string text;
+    for (std::uint64_t event = 1; event <= FakeEndpoint::eventsOfAStream; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    return text;
+}
+
+} // namespace
+
+/// Guards what callers see of real daemons while single things fail.
+class EntryDaemonTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EntryDaemonTest);
+    CPPUNIT_TEST(everyKindOfRequestIsServed);
+    CPPUNIT_TEST(foreignRequestsAreRefused);
+    CPPUNIT_TEST(killedDaemonComesBack);
+    CPPUNIT_TEST(stopFinishesOpenRequests);
+    CPPUNIT_TEST(storeOutageStopsNoRequest);
+    CPPUNIT_TEST(daemonStartedInAnOutageWaitsForItsEnd);
+    CPPUNIT_TEST(unsafeRequestRunsOnceIfItsAnswerIsLost);
+    CPPUNIT_TEST(safeRequestIsRepeatedElsewhere);
+    CPPUNIT_TEST(streamGoesOnAtAnotherEndpoint);
+    CPPUNIT_TEST(leavingEndpointGetsNothingNew);
+    CPPUNIT_TEST(newConfigurationComesIntoForce);
+    CPPUNIT_TEST(removedKeyIsRefused);
+    CPPUNIT_TEST(usageIsReported);
+    CPPUNIT_TEST(metricsAreServed);
+    CPPUNIT_TEST(faultySettingsEndTheStart);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<TestSite> m_site;
+    unsigned m_calls = 0;
+
+    CallResult call(unsigned daemon, const std::string &path)
+    {
+        const std::string id = "r" + std::to_string(++m_calls);
+        Caller caller;
+        CallResult result =
+                caller.call(m_site->daemons().at(daemon)->callerPort(), path, id, callTimeout);
+        CPPUNIT_ASSERT_MESSAGE(path + " got an incomplete answer", result.isWhole);
+        CPPUNIT_ASSERT_EQUAL(id, result.id);
+        return result;
+    }
+    void assertServed(unsigned daemon, const std::string &path)
+    {
+        const CallResult result = call(daemon, path);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(path + ": " + result.body, 200, result.status);
+    }
+
+public:
+    void setUp() override { m_site = std::make_unique<TestSite>(); }
+    void tearDown() override { m_site.reset(); }
+
+    void everyKindOfRequestIsServed()
+    {
+        m_site->startUp(2);
+        for (unsigned daemon = 0; daemon < 2; ++daemon) {
+            for (const char *path : {"/book/1", "/look/1"}) {
+                const CallResult result = call(daemon, path);
+                CPPUNIT_ASSERT_EQUAL(200, result.status);
+                CPPUNIT_ASSERT_EQUAL(result.id, result.body);
+                CPPUNIT_ASSERT_EQUAL(1U, m_site->ledger().runs(result.id));
+            }
+            const CallResult stream = call(daemon, "/review/1");
+            CPPUNIT_ASSERT_EQUAL(wholeStream(stream.id), stream.body);
+        }
+    }
+
+    void foreignRequestsAreRefused()
+    {
+        m_site->startUp(1);
+        CPPUNIT_ASSERT_EQUAL(404, call(0, "/nothing/1").status);
+        const CallResult result = Caller::fetch(m_site->daemons().front()->callerPort(), "/look/1");
+        CPPUNIT_ASSERT(result.status == 404 || result.status == 401);
+    }
+
+    void killedDaemonComesBack()
+    {
+        m_site->startUp(2);
+        DaemonProcess &daemon = *m_site->daemons().front();
+        daemon.signal(SIGKILL);
+        CPPUNIT_ASSERT_EQUAL(-SIGKILL, daemon.exitStatus(seconds(2)).value());
+        assertServed(1, "/book/1");
+        daemon.start();
+        CPPUNIT_ASSERT(eventually(seconds(5), [&daemon] { return daemon.isReady(); }));
+        assertServed(0, "/book/1");
+    }
+
+    void stopFinishesOpenRequests()
+    {
+        m_site->publish(1);
+        m_site->addEndpoint("desk", milliseconds(1000));
+        DaemonProcess &daemon = m_site->addDaemon();
+        CPPUNIT_ASSERT(eventually(seconds(10), [&daemon] {
+            return daemon.isReady()
+                    && Caller().call(daemon.callerPort(), "/look/1", "s", callTimeout).status
+                    == 200;
+        }));
+        auto open = std::async(std::launch::async, [this] { return call(0, "/book/1"); });
+        std::this_thread::sleep_for(milliseconds(300));
+        daemon.signal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(!daemon.isReady());
+        CPPUNIT_ASSERT_EQUAL(200, open.get().status);
+        CPPUNIT_ASSERT_EQUAL(0, daemon.exitStatus(seconds(8)).value_or(-1));
+    }
+
+    void storeOutageStopsNoRequest()
+    {
+        m_site->startUp(2);
+        for (const auto health : {FakePlatform::Health::Silent, FakePlatform::Health::Refusing}) {
+            m_site->platform().setHealth(health);
+            for (int round = 0; round < 20; ++round) {
+                assertServed(round % 2, "/book/1");
+                assertServed(round % 2, "/review/1");
+                std::this_thread::sleep_for(milliseconds(100));
+            }
+        }
+        m_site->platform().setHealth(FakePlatform::Health::Up);
+        m_site->publish(2, "nowhere");
+        CPPUNIT_ASSERT(eventually(configurationBound, [this] {
+            return call(0, "/book/1").status != 200 && call(1, "/book/1").status != 200;
+        }));
+    }
+
+    void daemonStartedInAnOutageWaitsForItsEnd()
+    {
+        m_site->startUp(1);
+        m_site->platform().setHealth(FakePlatform::Health::Refusing);
+        DaemonProcess &daemon = m_site->addDaemon();
+        std::this_thread::sleep_for(seconds(1));
+        CPPUNIT_ASSERT(!daemon.isReady());
+        m_site->platform().setHealth(FakePlatform::Health::Up);
+        CPPUNIT_ASSERT(eventually(seconds(3), [&daemon] { return daemon.isReady(); }));
+        CPPUNIT_ASSERT(eventually(seconds(2), [this] { return call(1, "/look/1").status == 200; }));
+    }
+
+    void unsafeRequestRunsOnceIfItsAnswerIsLost()
+    {
+        m_site->startUp(1);
+        for (const auto &endpoint : m_site->endpoints())
+            endpoint->proxy().setFault(FaultProxy::Fault::CutAnswers);
+        const CallResult result = call(0, "/book/1");
+        CPPUNIT_ASSERT(result.status >= 500);
+        CPPUNIT_ASSERT(!result.saysNotRun);
+        CPPUNIT_ASSERT_EQUAL(1U, m_site->ledger().runs(result.id));
+    }
+
+    void safeRequestIsRepeatedElsewhere()
+    {
+        m_site->startUp(1);
+        m_site->endpoints().front()->proxy().setFault(FaultProxy::Fault::Reset);
+        for (int round = 0; round < 10; ++round)
+            assertServed(0, "/look/1");
+    }
+
+    void streamGoesOnAtAnotherEndpoint()
+    {
+        m_site->publish(1);
+        m_site->addEndpoint("desk");
+        FakeEndpoint &first = m_site->addEndpoint("model", milliseconds(100));
+        DaemonProcess &daemon = m_site->addDaemon();
+        CPPUNIT_ASSERT(eventually(seconds(10), [&daemon] {
+            return daemon.isReady()
+                    && Caller().call(daemon.callerPort(), "/review/1", "s", callTimeout).status
+                    == 200;
+        }));
+        auto open = std::async(std::launch::async, [this] { return call(0, "/review/1"); });
+        std::this_thread::sleep_for(milliseconds(200));
+        m_site->addEndpoint("model");
+        std::this_thread::sleep_for(milliseconds(200));
+        first.crash();
+        const CallResult result = open.get();
+        CPPUNIT_ASSERT_EQUAL(wholeStream(result.id), result.body);
+        CPPUNIT_ASSERT_EQUAL(2U, m_site->ledger().runs(result.id));
+    }
+
+    void leavingEndpointGetsNothingNew()
+    {
+        m_site->startUp(2);
+        FakeEndpoint &endpoint = *m_site->endpoints().front();
+        endpoint.leave();
+        for (int round = 0; round < 100; ++round) {
+            assertServed(round % 2, "/look/1");
+            std::this_thread::sleep_for(milliseconds(30));
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(endpoint.latestRunAfterLeaving().count()) + " ms",
+                               endpoint.latestRunAfterLeaving() < seconds(2));
+    }
+
+    void newConfigurationComesIntoForce()
+    {
+        m_site->startUp(2);
+        m_site->addEndpoint("other");
+        FakeEndpoint &desk = *m_site->endpoints().front();
+        desk.proxy().setFault(FaultProxy::Fault::Reset);
+        m_site->endpoints().at(1)->proxy().setFault(FaultProxy::Fault::Reset);
+        m_site->publish(5, "other");
+        CPPUNIT_ASSERT(eventually(configurationBound, [this] {
+            return call(0, "/book/1").status == 200 && call(1, "/book/1").status == 200;
+        }));
+    }
+
+    void removedKeyIsRefused()
+    {
+        m_site->startUp(2);
+        m_site->publish(2, "desk", {"another"});
+        CPPUNIT_ASSERT(eventually(configurationBound, [this] {
+            return call(0, "/book/1").status == 401 && call(1, "/book/1").status == 401;
+        }));
+    }
+
+    void usageIsReported()
+    {
+        m_site->startUp(2);
+        for (int round = 0; round < 10; ++round)
+            assertServed(round % 2, "/book/1");
+        CPPUNIT_ASSERT(
+                eventually(seconds(12), [this] { return m_site->platform().usageReports() > 0; }));
+    }
+
+    void metricsAreServed()
+    {
+        m_site->startUp(1);
+        assertServed(0, "/book/1");
+        const CallResult result =
+                Caller::fetch(m_site->daemons().front()->metricsPort(), "/metrics");
+        CPPUNIT_ASSERT_EQUAL(200, result.status);
+        for (const char *name :
+             {"monsoonsail_request_seconds_count{account=\"club\"}", "monsoonsail_requests 0",
+              "monsoonsail_usable_endpoints 4", "monsoonsail_configuration_revision 1"})
+            CPPUNIT_ASSERT_MESSAGE(result.body, result.body.find(name) != std::string::npos);
+    }
+
+    void faultySettingsEndTheStart()
+    {
+        DaemonProcess daemon("faulty", "127.0.0.1:1", m_site->folder());
+        std::ofstream(m_site->folder() / "faulty.toml") << "zone = 3\n";
+        daemon.start();
+        CPPUNIT_ASSERT_EQUAL(2, daemon.exitStatus(seconds(5)).value_or(-1));
+        CPPUNIT_ASSERT_MESSAGE(daemon.log(), daemon.log().find("zone") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(daemon.log(), daemon.log().find("instance") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryDaemonTest);
--- /dev/null
+++ b/tests/processes/fault_soak_test.cpp
@@ -0,0 +1,301 @@
+#include "tests/processes/fault_plan.h"
+#include "tests/processes/soak_load.h"
+#include "tests/support/test_site.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <thread>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr unsigned daemonCount = 3;
+constexpr milliseconds faultTime{5000};
+/// From the last fault until everything is served again.
+constexpr seconds recoveryBound{12};
+/// From SIGTERM until the platform would kill.
+constexpr seconds stopGrace{8};
+/// From the start of a process until it listens.
+constexpr seconds startBound{5};
+/// Route's limit of endpoints that a request may be sent to.
+constexpr unsigned attemptLimit = 3;
+constexpr int callsAfterRecovery = 20;
+
+/// Seeds of CI, and seeds that have failed once, each with its cause.
+const std::vector<std::uint64_t> regularSeeds{1, 2, 3};
+
+std::vector<std::uint64_t> seedsToRun()
+{
+    // "FIRST-LAST", set by make faults.
+    const char *range = std::getenv("MONSOONSAIL_FAULT_SEEDS");
+    if (range == nullptr)
+        return regularSeeds;
+    std::vector<std::uint64_t> seeds;
+    char *rest = nullptr;
+    const std::uint64_t first = std::strtoull(range, &rest, 10);
+    const std::uint64_t last = *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first;
+    for (std::uint64_t seed = first; seed <= last; ++seed)
+        seeds.push_back(seed);
+    return seeds;
+}
+
+std::string wholeStream(const std::string &id)
+{
+    std::string text;
+    for (std::uint64_t event = 1; event <= FakeEndpoint::eventsOfAStream; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    return text;
+}
+
+/// One run of a seed against a site of its own.
+class SoakRun
+{
+public:
+    explicit SoakRun(std::uint64_t seed)
+        : m_seed(seed)
+    { }
+
+    /// Returns the promises that were broken.
+    std::vector<std::string> run();
+
+private:
+    void apply();
+    void begin(const PlannedFault &fault);
+    void end(const PlannedFault &fault);
+    void signal(unsigned daemon, int number);
+    void restart(unsigned daemon);
+    FakeEndpoint &endpoint(const PlannedFault &fault)
+    {
+        return *m_site.endpoints().at(fault.target % m_proxiedEndpoints);
+    }
+    void check(const SoakLoad::Call &call);
+    void checkRecovery();
+    void broken(const std::string &what) { m_broken.push_back(what); }
+
+    const std::uint64_t m_seed;
+    TestSite m_site;
+    std::unique_ptr<SoakLoad> m_load;
+    std::size_t m_proxiedEndpoints = 0;
+    unsigned m_revision = 1;
+    std::set<unsigned> m_isEnding; ///< Daemons that were told to end, or killed.
+    std::vector<std::string> m_broken;
+};
+
+std::vector<std::string> SoakRun::run()
+{
+    m_site.startUp(daemonCount);
+    m_site.addEndpoint("other");
+    m_proxiedEndpoints = m_site.endpoints().size();
+    m_load = std::make_unique<SoakLoad>(m_site, m_seed);
+    apply();
+    checkRecovery();
+    const std::vector<SoakLoad::Call> calls = m_load->finish();
+    for (const SoakLoad::Call &call : calls)
+        check(call);
+    std::cout << "seed " << m_seed << ": " << calls.size() << " calls, " << m_broken.size()
+              << " broken" << std::endl;
+    if (!m_broken.empty()) {
+        m_site.keepLogs();
+        std::ostringstream plan;
+        for (const PlannedFault &fault : planFaults(m_seed, faultTime)) {
+            plan << " " << faultName(fault.kind) << "(" << fault.target << ")@"
+                 << fault.begin.count() << "-" << fault.end.count();
+        }
+        broken("faults:" + plan.str() + "; logs in " + m_site.folder().string());
+    }
+    return m_broken;
+}
+
+void SoakRun::apply()
+{
+    const std::vector<PlannedFault> faults = planFaults(m_seed, faultTime);
+    std::multimap<milliseconds, std::pair<bool, const PlannedFault *>> steps;
+    for (const PlannedFault &fault : faults) {
+        steps.insert({fault.begin, {true, &fault}});
+        steps.insert({fault.end, {false, &fault}});
+    }
+    const auto startedAt = std::chrono::steady_clock::now();
+    for (const auto &[at, step] : steps) {
+        std::this_thread::sleep_until(startedAt + at);
+        if (step.first)
+            begin(*step.second);
+        else
+            end(*step.second);
+    }
+}
+
+void SoakRun::begin(const PlannedFault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::PauseDaemon:
+        signal(fault.target % daemonCount, SIGSTOP);
+        break;
+    case FaultKind::KillDaemon:
+        signal(fault.target % daemonCount, SIGKILL);
+        break;
+    case FaultKind::StopDaemon:
+        signal(fault.target % daemonCount, SIGTERM);
+        break;
+    case FaultKind::StoreSilent:
+        m_site.platform().setHealth(FakePlatform::Health::Silent);
+        break;
+    case FaultKind::StoreRefusing:
+        m_site.platform().setHealth(FakePlatform::Health::Refusing);
+        break;
+    case FaultKind::EndpointDelayed:
+        endpoint(fault).proxy().setFault(FaultProxy::Fault::Delay);
+        break;
+    case FaultKind::EndpointSilent:
+        endpoint(fault).proxy().setFault(FaultProxy::Fault::Silence);
+        break;
+    case FaultKind::EndpointAnswersCut:
+        endpoint(fault).proxy().setFault(FaultProxy::Fault::CutAnswers);
+        break;
+    case FaultKind::EndpointReset:
+        endpoint(fault).proxy().setFault(FaultProxy::Fault::Reset);
+        break;
+    case FaultKind::EndpointLeaves:
+        m_site.addEndpoint(endpoint(fault).service());
+        endpoint(fault).leave();
+        break;
+    case FaultKind::EndpointCrashes:
+        m_site.addEndpoint(endpoint(fault).service());
+        endpoint(fault).crash();
+        break;
+    case FaultKind::NewConfiguration:
+        m_site.publish(++m_revision, fault.target % 2 == 0 ? "desk" : "other");
+        break;
+    }
+}
+
+void SoakRun::end(const PlannedFault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::PauseDaemon:
+        signal(fault.target % daemonCount, SIGCONT);
+        if (!m_isEnding.contains(fault.target % daemonCount))
+            m_load->undisturbed(fault.target % daemonCount);
+        break;
+    case FaultKind::KillDaemon:
+    case FaultKind::StopDaemon:
+        restart(fault.target % daemonCount);
+        break;
+    case FaultKind::StoreSilent:
+    case FaultKind::StoreRefusing:
+        m_site.platform().setHealth(FakePlatform::Health::Up);
+        break;
+    case FaultKind::EndpointDelayed:
+    case FaultKind::EndpointSilent:
+    case FaultKind::EndpointAnswersCut:
+    case FaultKind::EndpointReset:
+        endpoint(fault).proxy().setFault(FaultProxy::Fault::None);
+        break;
+    case FaultKind::EndpointLeaves:
+    case FaultKind::EndpointCrashes:
+    case FaultKind::NewConfiguration:
+        break;
+    }
+}
+
+void SoakRun::signal(unsigned daemon, int number)
+{
+    m_load->disturbed(daemon);
+    if (number == SIGKILL || number == SIGTERM)
+        m_isEnding.insert(daemon);
+    m_site.daemons().at(daemon)->signal(number);
+}
+
+void SoakRun::restart(unsigned daemon)
+{
+    // The end of an overlapping fault may have started it again.
+    if (!m_isEnding.erase(daemon))
+        return;
+    DaemonProcess &process = *m_site.daemons().at(daemon);
+    signal(daemon, SIGCONT);
+    const auto status = process.exitStatus(stopGrace);
+    if (!status) {
+        broken(process.instance() + " still runs after its grace period");
+        signal(daemon, SIGKILL);
+        process.exitStatus(stopGrace);
+    } else if (*status != 0 && *status != -SIGKILL && *status != -SIGTERM) {
+        broken(process.instance() + " ended with status " + std::to_string(*status));
+    }
+    process.start();
+    if (!eventually(startBound, [&process] { return process.answersStatus(); }))
+        broken(process.instance() + " does not answer after its start");
+    m_load->undisturbed(daemon);
+}
+
+void SoakRun::check(const SoakLoad::Call &call)
+{
+    const CallResult &result = call.result;
+    const std::string what = call.path + " " + call.id + " at daemon "
+            + std::to_string(call.daemon + 1) + ": status " + std::to_string(result.status);
+    const unsigned runs = m_site.ledger().runs(call.id);
+    const bool isStream = call.path.starts_with("/review/");
+    if (call.path.starts_with("/book/") && runs > 1)
+        broken(what + ", ran " + std::to_string(runs) + " times");
+    if (runs > attemptLimit)
+        broken(what + ", was sent to " + std::to_string(runs) + " endpoints");
+    if (result.saysNotRun && runs > 0)
+        broken(what + ", said not to have run, but it did");
+    if (result.status != 0 && result.id != call.id)
+        broken(what + ", has the answer of \"" + result.id + "\"");
+    if (result.status == 200 && result.isWhole
+        && result.body != (isStream ? wholeStream(call.id) : call.id))
+        broken(what + ", has the body \"" + result.body + "\"");
+    if (!call.wasDisturbed && (result.status == 0 || (!result.isWhole && !isStream)))
+        broken(what + ", no whole answer after " + std::to_string(result.duration.count()) + " ms");
+}
+
+void SoakRun::checkRecovery()
+{
+    for (unsigned daemon = 0; daemon < daemonCount; ++daemon) {
+        int served = 0;
+        const bool recovered = eventually(recoveryBound, [&] {
+            const unsigned port = m_site.daemons()[daemon]->callerPort();
+            const std::string id = "after" + std::to_string(daemon) + "-" + std::to_string(served);
+            for (const char *path : {"/book/1", "/look/1", "/review/1"}) {
+                const CallResult result = Caller().call(port, path, id, seconds(1));
+                served = result.status == 200 && result.isWhole ? served + 1 : 0;
+            }
+            return served >= callsAfterRecovery;
+        });
+        if (!recovered)
+            broken("daemon " + std::to_string(daemon + 1) + " does not serve after the faults");
+    }
+}
+
+} // namespace
+
+/// Runs real daemons through random faults and checks what callers and endpoints see.
+class FaultSoakTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FaultSoakTest);
+    CPPUNIT_TEST(promisesHoldUnderFaults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void promisesHoldUnderFaults()
+    {
+        std::string report;
+        for (const std::uint64_t seed : seedsToRun()) {
+            for (const std::string &line : SoakRun(seed).run())
+                report += "seed " + std::to_string(seed) + ": " + line + "\n";
+        }
+        CPPUNIT_ASSERT_MESSAGE(report, report.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FaultSoakTest);
--- /dev/null
+++ b/tests/support/caller.cpp
@@ -0,0 +1,65 @@
+#include "tests/support/caller.h"
+
+#include <stdexcept>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr std::chrono::seconds fetchTimeout{2};
+/// An answer that is given at the deadline still has to come here.
+constexpr std::chrono::milliseconds deliveryTime{500};
+
+} // namespace
+
+CallResult Caller::call(unsigned port, const std::string &path, const std::string &id,
+                        std::chrono::milliseconds timeout)
+{
+    return exchange(port,
+                    "POST " + path
+                            + " HTTP/1.1\r\nHost: club.example\r\nAuthorization: Token key\r\n"
+                            + "X-Attempt-Id: " + id + "\r\nX-Deadline-Ms: "
+                            + std::to_string(timeout.count()) + "\r\nContent-Length: 2\r\n\r\nhi",
+                    timeout + deliveryTime);
+}
+
+CallResult Caller::fetch(unsigned port, const std::string &path)
+{
+    Caller caller;
+    return caller.exchange(port, "GET " + path + " HTTP/1.1\r\nHost: local\r\n\r\n", fetchTimeout);
+}
+
+CallResult Caller::exchange(unsigned port, const std::string &request,
+                            std::chrono::milliseconds timeout)
+{
+    CallResult result;
+    const auto startedAt = std::chrono::steady_clock::now();
+    try {
+        // A connection that was closed while it was idle carries no request.
+        if (!m_socket.isOpen() || m_port != port || m_socket.isClosedWithin({})) {
+            m_socket = RawSocket::connectTo(port);
+            m_connection = std::make_unique<HttpConnection>(m_socket);
+            m_port = port;
+        }
+    } catch (const std::runtime_error &) {
+        disconnect();
+        return result;
+    }
+    result.wasSent = m_socket.send(request);
+    const auto answer = m_connection->readAnswer(timeout, result.isWhole);
+    result.duration = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - startedAt);
+    if (answer) {
+        result.status = static_cast<int>(answer->result_int());
+        result.body = answer->body();
+        result.saysNotRun = answer->find("X-Not-Executed") != answer->end();
+        const auto id = answer->find("X-Attempt-Id");
+        if (id != answer->end())
+            result.id = std::string(id->value());
+    }
+    if (!result.isWhole || !answer->keep_alive())
+        disconnect();
+    return result;
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/support/daemon_process.cpp
@@ -0,0 +1,126 @@
+#include "tests/support/daemon_process.h"
+
+#include "tests/support/caller.h"
+#include "tests/support/raw_socket.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr std::chrono::milliseconds pollInterval{10};
+
+unsigned freePort()
+{
+    return RawListener().port();
+}
+
+std::string loopback(unsigned port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+DaemonProcess::DaemonProcess(std::string instance, const std::string &platform,
+                             const std::filesystem::path &folder)
+    : m_instance(std::move(instance))
+    , m_settings(folder / (m_instance + ".toml"))
+    , m_log(folder / (m_instance + ".log"))
+    , m_callerPort(freePort())
+    , m_readyPort(freePort())
+    , m_metricsPort(freePort())
+{
+    std::ofstream settings(m_settings);
+    settings << "instance = \"" << m_instance << "\"\nzone = \"zvolen\"\n"
+             << "caller_listen = \"" << loopback(m_callerPort) << "\"\n"
+             << "ready_listen = \"" << loopback(m_readyPort) << "\"\n"
+             << "control_listen = \"" << loopback(freePort()) << "\"\n"
+             << "metrics_listen = \"" << loopback(m_metricsPort) << "\"\n"
+             << "digest_listen = \"" << loopback(freePort()) << "\"\n"
+             << "store = \"" << platform << "\"\nduties = \"" << platform << "\"\n"
+             << "heartbeat_ms = 1200\ndrain_ms = 2000\nduty_lease_ms = 3000\nstop_grace_s = 8\n"
+             << "[repeats]\nratio = 0.2\nslack = 50\nwindow_s = 10\n"
+             << "[usage]\nwindow_s = 1\ndue_s = 4\n"
+             << "[allowances]\nwindow_s = 8\nexcess = 0.1\nslack = 100\n";
+}
+
+DaemonProcess::~DaemonProcess()
+{
+    if (isRunning()) {
+        signal(SIGKILL);
+        exitStatus(std::chrono::seconds(5));
+    }
+}
+
+void DaemonProcess::start()
+{
+    const char *folder = std::getenv("MONSOONSAIL_BIN");
+    const std::string program = std::string(folder == nullptr ? "build" : folder) + "/monsoonsaild";
+    const std::string argument = "--settings=" + m_settings.string();
+    const int output = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    m_process = ::fork();
+    if (m_process < 0)
+        throw std::runtime_error("cannot start a process");
+    if (m_process == 0) {
+        ::dup2(output, STDOUT_FILENO);
+        ::dup2(output, STDERR_FILENO);
+        ::execl(program.c_str(), program.c_str(), argument.c_str(), nullptr);
+        ::_exit(127);
+    }
+    ::close(output);
+}
+
+void DaemonProcess::signal(int number) const
+{
+    if (m_process > 0)
+        ::kill(m_process, number);
+}
+
+std::optional<int> DaemonProcess::exitStatus(std::chrono::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (m_process > 0) {
+        int status = 0;
+        if (::waitpid(m_process, &status, WNOHANG) == m_process) {
+            m_exitStatus = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+            m_process = 0;
+        } else if (std::chrono::steady_clock::now() >= deadline) {
+            return std::nullopt;
+        } else {
+            std::this_thread::sleep_for(pollInterval);
+        }
+    }
+    return m_exitStatus;
+}
+
+bool DaemonProcess::answersStatus() const
+{
+    return Caller::fetch(m_readyPort, "/readyz").status != 0;
+}
+
+bool DaemonProcess::isReady() const
+{
+    return Caller::fetch(m_readyPort, "/readyz").status == statusOk;
+}
+
+std::string DaemonProcess::log() const
+{
+    std::ostringstream text;
+    text << std::ifstream(m_log).rdbuf();
+    return text.str();
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/support/fake_platform.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "tests/support/connection_threads.h"
+#include "tests/support/http_connection.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace monsoonsail {
+
+/// The part of the platform's store and duty calls that entry daemons use, on one port.
+class FakePlatform
+{
+public:
+    enum class Health {
+        Up,
+        Refusing, ///< Answers 503.
+        Silent,   ///< Takes calls and never answers.
+    };
+
+    FakePlatform();
+    ~FakePlatform();
+
+    std::string address() const { return m_server.address(); }
+    void setHealth(Health health);
+    /// Puts a record as the operator or an endpoint would; an empty value drops the key.
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+    /// Returns how many usage reports were accepted.
+    unsigned usageReports() const { return m_usageReports; }
+
+private:
+    struct Record
+    {
+        std::string key;
+        std::string value;
+    };
+
+    void serve(RawSocket &socket);
+    void handle(const HttpTestRequest &request, const HttpConnection &connection);
+    void append(const HttpTestRequest &request, const HttpConnection &connection);
+    void read(const HttpTestRequest &request, const HttpConnection &connection);
+    void readNewest(const HttpTestRequest &request, const HttpConnection &connection);
+    void report(const HttpTestRequest &request, const HttpConnection &connection);
+
+    std::atomic<Health> m_health = Health::Up;
+    std::atomic<unsigned> m_usageReports = 0;
+    std::mutex m_mutex;
+    std::condition_variable m_appended;
+    std::map<std::string, std::vector<Record>> m_topics;
+    std::uint64_t m_fencingNumber = 0; ///< Highest that a duty call has carried.
+    ConnectionThreads m_server;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/support/fault_proxy.cpp
@@ -0,0 +1,52 @@
+#include "tests/support/fault_proxy.h"
+
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+namespace monsoonsail {
+
+namespace {
+
+/// How long one direction is waited for before the other is looked at.
+constexpr std::chrono::milliseconds turn{1};
+
+} // namespace
+
+FaultProxy::FaultProxy(unsigned targetPort)
+    : m_targetPort(targetPort)
+    , m_server([this](RawSocket &caller) { serve(caller); })
+{ }
+
+void FaultProxy::serve(RawSocket &caller) const
+{
+    RawSocket target;
+    try {
+        target = RawSocket::connectTo(m_targetPort);
+    } catch (const std::runtime_error &) {
+        caller.reset();
+        return;
+    }
+    while (!m_server.isStopping()) {
+        const Fault fault = m_fault;
+        if (fault == Fault::Reset) {
+            caller.reset();
+            target.reset();
+            return;
+        }
+        if (fault == Fault::Silence) {
+            std::this_thread::sleep_for(ConnectionThreads::stopCheck);
+            continue;
+        }
+        const auto request = caller.receiveSome(turn);
+        if (fault == Fault::Delay && request && !request->empty())
+            std::this_thread::sleep_for(delay);
+        if (!request || !target.send(*request))
+            return;
+        const auto answer = target.receiveSome(turn);
+        if (!answer || (fault != Fault::CutAnswers && !caller.send(*answer)))
+            return;
+    }
+}
+
+} // namespace monsoonsail
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -52,14 +52,26 @@
     return socket;
 }
 
-void RawSocket::send(std::string_view bytes) const
+bool RawSocket::send(std::string_view bytes) const
 {
     while (!bytes.empty()) {
         const ssize_t size = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (size <= 0)
-            return;
+            return false;
         bytes.remove_prefix(static_cast<std::size_t>(size));
     }
+    return true;
+}
+
+std::optional<std::string> RawSocket::receiveSome(std::chrono::milliseconds timeout) const
+{
+    if (!isReadable(m_descriptor, timeout))
+        return std::string();
+    std::array<char, 4096> buffer{};
+    const ssize_t size = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (size <= 0)
+        return std::nullopt;
+    return std::string(buffer.data(), static_cast<std::size_t>(size));
 }
 
 std::string RawSocket::receiveUntil(std::string_view marker,
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,11 +24,14 @@
     /// Connects to a port of this machine.
     static RawSocket connectTo(unsigned port);
 
-    void send(std::string_view bytes) const;
+    /// Returns whether all bytes could be handed over.
+    bool send(std::string_view bytes) const;
     /// Receives until `marker` is there, the other end closes, or the time is over; returns all
     /// bytes received by this call.
     std::string receiveUntil(std::string_view marker,
                              std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
+    /// Receives what is there, or comes within the time; nothing if the other end has closed.
+    std::optional<std::string> receiveSome(std::chrono::milliseconds timeout) const;
     /// Whether the other end closes within the time.
     bool isClosedWithin(std::chrono::milliseconds timeout) const;
     void close();
--- /dev/null
+++ b/tests/support/test_site.cpp
@@ -0,0 +1,124 @@
+#include "tests/support/test_site.h"
+
+#include "tests/support/caller.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds pollInterval{20};
+constexpr std::chrono::seconds startTime{10};
+
+json route(const std::string &path, const std::string &kind, const std::string &service)
+{
+    return {{"Name", path},       {"Hostname", "club.example"},
+            {"PathPrefix", path}, {"RouteKind", kind},
+            {"Service", service}, {"Resumable", kind == "streaming"},
+            {"Attempts", 3},      {"Priority", 1},
+            {"TimeoutMs", 8000},  {"GoalMs", 500},
+            {"GapGoalMs", 600}};
+}
+
+std::filesystem::path newFolder()
+{
+    std::string name = std::filesystem::temp_directory_path() / "monsoonsail-XXXXXX";
+    if (::mkdtemp(name.data()) == nullptr)
+        throw std::runtime_error("cannot make a folder for the logs");
+    return name;
+}
+
+} // namespace
+
+bool eventually(std::chrono::milliseconds timeout, const std::function<bool()> &condition)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+TestSite::TestSite()
+    : m_folder(newFolder())
+{ }
+
+TestSite::~TestSite()
+{
+    m_daemons.clear();
+    if (!m_keepsLogs)
+        std::filesystem::remove_all(m_folder);
+}
+
+void TestSite::publish(unsigned revision, const std::string &bookService,
+                       const std::vector<std::string> &keys)
+{
+    const json configuration{
+            {"Version", revision},
+            {"Routes",
+             {route("/book/", "unsafe", bookService), route("/look/", "safe", "desk"),
+              route("/review/", "streaming", "model")}},
+            {"Services",
+             {{{"Name", "desk"}, {"HealthPath", "/up"}, {"MaxConns", 100}},
+              {{"Name", "model"}, {"HealthPath", "/up"}, {"MaxConns", 100}},
+              {{"Name", "other"}, {"HealthPath", "/up"}, {"MaxConns", 100}}}},
+            {"Tenants", {{{"Name", "club"}, {"ApiKeys", keys}}}},
+            {"Limits",
+             {{"MaxHeaderBytes", 8192},
+              {"MaxBodyBytes", 1000000},
+              {"HeaderTimeoutMs", 2000},
+              {"IdleTimeoutMs", 20000}}}};
+    m_platform.put("keyed.op", "config", configuration.dump());
+}
+
+FakeEndpoint &TestSite::addEndpoint(const std::string &service, std::chrono::milliseconds workTime)
+{
+    const std::string instance = service + "-" + std::to_string(++m_endpointCount);
+    m_endpoints.push_back(
+            std::make_unique<FakeEndpoint>(m_platform, m_ledger, instance, service, workTime));
+    return *m_endpoints.back();
+}
+
+DaemonProcess &TestSite::addDaemon()
+{
+    const std::string instance = "entry-" + std::to_string(m_daemons.size() + 1);
+    m_daemons.push_back(std::make_unique<DaemonProcess>(instance, m_platform.address(), m_folder));
+    m_daemons.back()->start();
+    return *m_daemons.back();
+}
+
+void TestSite::startUp(unsigned daemons)
+{
+    publish(1);
+    for (const char *service : {"desk", "desk", "model", "model"})
+        addEndpoint(service);
+    for (unsigned number = 0; number < daemons; ++number)
+        addDaemon();
+    for (const auto &daemon : m_daemons) {
+        // Readiness needs the configuration only; the first answer shows that endpoints are known.
+        const bool serves = eventually(startTime, [&daemon] {
+            return daemon->isReady()
+                    && Caller().call(daemon->callerPort(), "/look/start", "start",
+                                     std::chrono::seconds(1))
+                               .status
+                    == 200;
+        });
+        if (!serves) {
+            keepLogs();
+            throw std::runtime_error(daemon->instance() + " does not serve; logs in "
+                                     + m_folder.string());
+        }
+    }
+}
+
+} // namespace monsoonsail
