Count what peers let through first, and take back reservations where they were made

Played in AllowanceLedgerTest with 33 instances: - the first use of an account that a peer's digest named was taken as a starting point and never counted, so the first 0.25 s of a flood were free; - what was reserved for a silent peer was taken back at once when it was heard again, although part of it had left the window, which opened the allowance; - in a surge each instance compared its own demand of the moment with what it had heard of the others, and took itself for the busiest. Change: first uses count unless the peer was running before this process; reservations are taken back at the times at which they were made; the spread of the demand compares what digests have told; demand is followed with 0.4 s too. Ruled out: the restart of killed instances (herdKillDoesNotHandOutTheAllowanceTwice holds before and after).

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -326,7 +326,7 @@
                   .isReader = m_endpointFollower.isActive(),
                   .fencingNumber = m_keeper.fencingNumber(),
                   .loads = m_context.enginePlacer->loads(now),
-                  .uses = m_context.allowances.uses(),
+                  .uses = m_context.allowances.tellUses(),
                   .work = m_context.work.work(),
                   .counts = m_context.meter.recent(),
                   .configurationAge = now - m_context.configurationAsOf,
--- a/servers/allowance/allowance_ledger.cpp
+++ b/servers/allowance/allowance_ledger.cpp
@@ -18,8 +18,12 @@
 constexpr Duration silence = std::chrono::milliseconds(600);
 /// Requests reach their endpoints a little later than they are let through.
 constexpr Duration windowReserve = std::chrono::milliseconds(200);
-/// Time constant with which the demand of the past is forgotten.
+/// Time constants with which the demand of the past is forgotten: one for how it is spread over the
+/// instances, one that follows an account that suddenly asks for more.
 constexpr double demandSeconds = 2.0;
+constexpr double surgeSeconds = 0.4;
+/// What is asked for may grow by so much before the others hear of it.
+constexpr double surgeFactor = 3;
 /// Part of the limit that counts as much. Accounts use about half of their rate as a rule, which is
 /// less than half of the limit.
 constexpr double muchUsed = 0.5;
@@ -137,7 +141,7 @@
     Entry &entry = position->second;
     advance(entry, now);
     entry.asked += amount;
-    entry.recentAsked += amount;
+    entry.surgeAsked += amount;
     if (entry.limit > 0) {
         // A request that is larger than the limit goes through when nothing else has been used.
         const double counted = std::min(amount, entry.limit);
@@ -162,9 +166,10 @@
 {
     const double asked = entry.recentAsked + entry.recentPeerAsked;
     // What the others let through before they hear of this request can't be more than is asked.
-    const bool isKnown = asked > 0 && !isYoung(now);
-    if (isKnown && left > asked / demandSeconds * toSeconds(hearing))
+    const double askedPerSecond = std::max(asked / demandSeconds, entry.surgeAsked / surgeSeconds);
+    if (!isYoung(now) && left > surgeFactor * askedPerSecond * toSeconds(hearing))
         return true;
+    const bool isKnown = asked > 0 && !isYoung(now);
     const double equalPart = 1.0 / m_instances;
     const double part = isKnown ? std::max(entry.recentAsked / asked, equalPart / 2) : equalPart;
     const double mayUse = part * (left + entry.usedHere.sum()) - entry.usedHere.sum();
@@ -191,25 +196,35 @@
 
 void AllowanceLedger::peerReported(const Peer &peer, Instant now)
 {
+    // An account that earlier digests did not name was not used until now; the counts of a peer
+    // that was running before this process are older than what is of interest.
+    std::string &heardIncarnation = m_heardIncarnations[peer.digest.instance];
+    const bool isUseNew =
+            heardIncarnation == peer.digest.incarnation || peer.digest.sequence < youngDigests;
+    heardIncarnation = peer.digest.incarnation;
     for (const Digest::AccountUse &use : peer.digest.uses) {
         const auto position = m_entries.find(use.account);
         if (position == m_entries.end())
             continue;
         Entry &entry = position->second;
         advance(entry, now);
-        const auto [known, isNew] = entry.peers.try_emplace(peer.digest.instance);
+        const auto [known, isNew] =
+                entry.peers.try_emplace(peer.digest.instance, m_rules.window + windowReserve);
         PeerUse &peerUse = known->second;
         if (peerUse.incarnation != peer.digest.incarnation) {
-            const bool isYoung = peer.digest.sequence < youngDigests;
             peerUse.incarnation = peer.digest.incarnation;
-            peerUse.asked = isYoung ? 0 : use.asked;
-            peerUse.admitted = isYoung ? 0 : use.admitted;
+            peerUse.asked = isUseNew ? 0 : use.asked;
+            peerUse.admitted = isUseNew ? 0 : use.admitted;
             peerUse.askedPerSecond = 0;
             peerUse.heardAt = now;
         }
-        entry.used.add(use.admitted - peerUse.admitted - peerUse.reserved, now);
+        // What was reserved may have left the window in part.
+        peerUse.reserved.advance(now);
+        entry.used.subtract(peerUse.reserved);
+        entry.used.addEvenly(use.admitted - peerUse.admitted, peerUse.heardAt, now);
         const double asked = std::max(use.asked - peerUse.asked, 0.0);
         entry.recentPeerAsked += asked;
+        entry.surgeAsked += asked;
         const double seconds = toSeconds(now - peerUse.heardAt);
         if (seconds > 0) {
             const double weight = std::min(1.0, seconds / demandSeconds);
@@ -218,7 +233,7 @@
         peerUse.heardAt = now;
         peerUse.asked = use.asked;
         peerUse.admitted = use.admitted;
-        peerUse.reserved = 0;
+        peerUse.reserved = SlidingSum(m_rules.window + windowReserve);
     }
 }
 
@@ -236,12 +251,13 @@
                                        Instant now) const
 {
     const auto count = [&entry, now](PeerUse &use, double amount) {
-        use.reserved += amount;
+        use.reserved.add(amount, now);
         entry.used.add(amount, now);
     };
     unsigned newlySilent = 0;
     for (const auto &[name, peer] : mesh.peers()) {
-        PeerUse &use = entry.peers[name];
+        PeerUse &use = entry.peers.try_emplace(name, m_rules.window + windowReserve).first->second;
+        use.reserved.advance(now);
         const bool isSilent = peer.heardAt + silence < now;
         if (isSilent && !use.isSilent) {
             ++newlySilent;
@@ -254,7 +270,7 @@
     // Each of them may also hand out its part of what is left.
     const double left = std::max(0.0, entry.limit - entry.used.sum());
     for (const auto &[name, peer] : mesh.peers()) {
-        PeerUse &use = entry.peers[name];
+        PeerUse &use = entry.peers.at(name);
         const bool isSilent = peer.heardAt + silence < now;
         if (newlySilent > 0 && isSilent && !use.isSilent)
             count(use, left / m_instances);
@@ -262,10 +278,14 @@
     }
 }
 
-std::vector<Digest::AccountUse> AllowanceLedger::uses() const
+std::vector<Digest::AccountUse> AllowanceLedger::tellUses()
 {
     std::vector<Digest::AccountUse> uses;
-    for (const auto &[account, entry] : m_entries) {
+    for (auto &[account, entry] : m_entries) {
+        // What is asked here counts from now on for the spread, as it does with the others.
+        // Counted at once, a surge would have every instance take itself for the busiest.
+        entry.recentAsked += entry.asked - entry.toldAsked;
+        entry.toldAsked = entry.asked;
         if (entry.asked > 0)
             uses.push_back({.account = account, .asked = entry.asked, .admitted = entry.admitted});
     }
@@ -283,6 +303,7 @@
     const double kept = std::exp(-seconds / demandSeconds);
     entry.recentAsked *= kept;
     entry.recentPeerAsked *= kept;
+    entry.surgeAsked *= std::exp(-seconds / surgeSeconds);
 }
 
 } // namespace monsoonsail
--- a/servers/allowance/allowance_ledger.h
+++ b/servers/allowance/allowance_ledger.h
@@ -56,18 +56,22 @@
     Uses heavyUses(Instant now);
     /// Takes over the use before this process started. Accounts that are not named used little.
     void recovered(const Uses &uses, Instant writtenAt, Instant now);
-    /// Returns the counts of this instance for its digest.
-    std::vector<Digest::AccountUse> uses() const;
+    /// Returns the counts of this instance for a digest that is sent now.
+    std::vector<Digest::AccountUse> tellUses();
 
 private:
     struct PeerUse
     {
+        explicit PeerUse(Duration window)
+            : reserved(window)
+        { }
+
         std::string incarnation;
         double asked = 0;
         double admitted = 0;
         double askedPerSecond = 0; ///< Recently.
         Instant heardAt;
-        double reserved = 0; ///< Counted on its behalf since its last digest.
+        SlidingSum reserved; ///< Counted on its behalf since its last digest.
         bool isSilent = false;
     };
     struct Entry
@@ -80,7 +84,9 @@
         SlidingSum usedHere; ///< By this instance since the others may have heard of it.
         double asked = 0;    ///< Since the start.
         double admitted = 0;
-        double recentAsked = 0; ///< Decay over seconds.
+        double toldAsked = 0;   ///< Part of `asked` that digests have told.
+        double recentAsked = 0; ///< Told of this instance; decays over seconds.
+        double surgeAsked = 0;  ///< Of all instances; decays quickly.
         double recentPeerAsked = 0;
         Instant decayedAt;
         Instant drawnAt; ///< When a large request was last let through, or not, by chance.
@@ -99,6 +105,8 @@
     AllowanceRules m_rules;
     RandomSource m_random;
     std::map<AccountId, Entry> m_entries;
+    /// Lives of the peers whose digests were taken over, by instance.
+    std::map<std::string, std::string> m_heardIncarnations;
     std::optional<Uses> m_recovered; ///< Use before the start, if it is known.
     Instant m_recoveredAt;           ///< When that use was recorded.
     unsigned m_instances = 1;
--- a/servers/allowance/sliding_sum.cpp
+++ b/servers/allowance/sliding_sum.cpp
@@ -24,6 +24,20 @@
         m_slices.insert(place, {.begin = at, .amount = amount});
 }
 
+void SlidingSum::addEvenly(double amount, Instant begin, Instant end)
+{
+    const std::int64_t steps = std::max<std::int64_t>(1, (end - begin) / sliceLength);
+    const std::int64_t stepsOfSpan = m_span / sliceLength + 1;
+    for (std::int64_t step = 0; step < std::min(steps, stepsOfSpan); ++step)
+        add(amount / static_cast<double>(steps), end - sliceLength * step);
+}
+
+void SlidingSum::subtract(const SlidingSum &other)
+{
+    for (const Slice &slice : other.m_slices)
+        add(-slice.amount, slice.begin);
+}
+
 void SlidingSum::advance(Instant now)
 {
     while (!m_slices.empty() && m_slices.front().begin + sliceLength + m_span < now) {
--- a/servers/allowance/sliding_sum.h
+++ b/servers/allowance/sliding_sum.h
@@ -17,6 +17,10 @@
     { }
 
     void add(double amount, Instant at);
+    /// Adds an amount that came evenly over the time from `begin` to `end`.
+    void addEvenly(double amount, Instant begin, Instant end);
+    /// Takes back what another sum of the same span holds, at the times at which it came.
+    void subtract(const SlidingSum &other);
     /// Drops what is older than the span.
     void advance(Instant now);
     double sum() const { return m_sum; }
--- a/tests/drivers/traffic_test.cpp
+++ b/tests/drivers/traffic_test.cpp
@@ -1,6 +1,6 @@
 #include "drivers/traffic/traffic.h"
-#include "tests/support/loop_thread.h"
 #include "tests/drivers/plain_codec.h"
+#include "tests/support/loop_thread.h"
 #include "tests/support/raw_socket.h"
 
 #include <cppunit/TestFixture.h>
--- a/tests/servers/allowance_ledger_test.cpp
+++ b/tests/servers/allowance_ledger_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(unevenDemandUsesTheWholeAllowance);
     CPPUNIT_TEST(herdKillDoesNotHandOutTheAllowanceTwice);
     CPPUNIT_TEST(instancesThatHearNothingShareTheAllowance);
+    CPPUNIT_TEST(floodAfterACutKeepsToItsLimit);
+    CPPUNIT_TEST(floodFromTheStartKeepsToItsLimit);
     CPPUNIT_TEST(refusalNamesATimeThatHelps);
     CPPUNIT_TEST(refundMakesRoom);
     CPPUNIT_TEST_SUITE_END();
@@ -50,6 +52,7 @@
     std::deque<std::pair<Instant, double>> m_admitted;
     double m_most = 0;
     bool m_cut = false;
+    std::size_t m_isolated = 0; ///< So many of the instances hear nobody and are not heard.
 
     std::string nameOf(std::size_t index) const { return "entry-" + std::to_string(index); }
 
@@ -83,9 +86,9 @@
                                 .address = nameOf(index),
                                 .sequence = ++sender.sequence,
                                 .sentAt = m_now,
-                                .uses = sender.ledger->uses()};
+                                .uses = sender.ledger->tellUses()};
             for (std::size_t other = 0; other < m_instances.size(); ++other) {
-                if (other == index || m_cut)
+                if (other == index || m_cut || other < m_isolated || index < m_isolated)
                     continue;
                 Instance &receiver = m_instances.at(other);
                 if (const Peer *peer = receiver.mesh->received(digest, m_now))
@@ -110,7 +113,10 @@
     /// Has the account ask for `perSecond` in requests of `amount`, by `shares` of the instances.
     void play(Duration duration, double perSecond, double amount, const std::vector<double> &shares)
     {
+        // Requests of different instances do not come at the same moments.
         std::vector<double> due(m_instances.size());
+        for (std::size_t index = 0; index < due.size(); ++index)
+            due.at(index) = amount * static_cast<double>(index) / static_cast<double>(due.size());
         const Instant end = m_now + duration;
         int tick = 0;
         while (m_now < end) {
@@ -207,6 +213,29 @@
         CPPUNIT_ASSERT(m_most <= m_bound);
     }
 
+    // mifuko-laini-grown, scale-2: a third of the instances is cut off from the others, half a
+    // second later an account asks for six times as much.
+    void floodAfterACutKeepsToItsLimit()
+    {
+        startAll(33);
+        play(seconds(14), 0, 12'000, evenly(33));
+        play(milliseconds(1000), 0.75 * rate, 12'000, evenly(33));
+        m_isolated = 12;
+        play(milliseconds(500), 0.75 * rate, 12'000, evenly(33));
+        play(seconds(11), 4.5 * rate, 12'000, evenly(33));
+        m_isolated = 0;
+        play(seconds(10), 4.5 * rate, 12'000, evenly(33));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(m_most), m_most <= m_bound);
+    }
+
+    void floodFromTheStartKeepsToItsLimit()
+    {
+        startAll(33);
+        play(seconds(14), 0, 12'000, evenly(33));
+        play(seconds(10), 6 * rate, 12'000, evenly(33));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(m_most), m_most <= m_bound);
+    }
+
     void refusalNamesATimeThatHelps()
     {
         startAll(1);
