--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 check: build
 	@bash scripts/check_format.sh
+	@bash scripts/check_platform_words.sh
 	@bash scripts/lint.sh $(BUILD)
 	@bash scripts/run_tests.sh $(BUILD)
 
--- a/core/outcome.cpp
+++ b/core/outcome.cpp
@@ -9,8 +9,6 @@
         return "not-run";
     case Outcome::Unknown:
         return "unknown";
-    case Outcome::Ran:
-        return "ran";
     }
     return "unknown";
 }
--- a/core/outcome.h
+++ b/core/outcome.h
@@ -8,10 +8,9 @@
 enum class Outcome {
     NotRun,  ///< No byte of the request reached or can reach an endpoint.
     Unknown, ///< The request may have run.
-    Ran,     ///< The request ran and its answer is complete.
 };
 
-/// Returns the wire name: "not-run", "unknown" or "ran".
+/// Returns the wire name: "not-run" or "unknown".
 std::string_view outcomeName(Outcome outcome);
 
 } // namespace monsoonsail
--- a/drivers/traffic/caller_connection.cpp
+++ b/drivers/traffic/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "drivers/traffic/caller_connection.h"
 
+#include "drivers/traffic/answer_writer.h"
+
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
@@ -20,10 +22,14 @@
 
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::string bareAnswer(std::string_view statusLine)
+ErrorKind kindOf(const std::error_code &error)
 {
-    return "HTTP/1.1 " + std::string(statusLine)
-            + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    using boost::beast::http::make_error_code;
+    if (error == std::error_code(make_error_code(boost::beast::http::error::body_limit)))
+        return ErrorKind::RequestTooLarge;
+    if (error == std::error_code(make_error_code(boost::beast::http::error::header_limit)))
+        return ErrorKind::HeadersTooLarge;
+    return ErrorKind::MalformedRequest;
 }
 
 } // namespace
@@ -86,7 +92,7 @@
         std::error_code error;
         m_input.erase(0, m_reader->read(m_input, error));
         if (error) {
-            reject(error);
+            reject(kindOf(error));
             break;
         }
         if (!hadHead && m_reader->isHeadComplete()) {
@@ -126,21 +132,14 @@
     m_owner.received(*this, std::move(head), std::exchange(m_body, {}), m_headAt);
 }
 
-void CallerConnection::reject(const std::error_code &error)
+void CallerConnection::reject(ErrorKind kind)
 {
-    using boost::beast::http::make_error_code;
-    const auto is = [&error](boost::beast::http::error kind) {
-        return error == std::error_code(make_error_code(kind));
-    };
     m_input.clear();
     m_reader.reset();
     m_closeWhenSent = true;
-    if (is(boost::beast::http::error::body_limit))
-        write(bareAnswer("413 Content Too Large"));
-    else if (is(boost::beast::http::error::header_limit))
-        write(bareAnswer("431 Request Header Fields Too Large"));
-    else
-        write(bareAnswer("400 Bad Request"));
+    std::string answer;
+    appendRefusal(kind, std::nullopt, {}, false, answer);
+    write(answer);
 }
 
 void CallerConnection::write(std::string_view bytes)
@@ -225,17 +224,9 @@
     if (m_answering || m_readDeadline > now)
         return;
     if (m_reader && m_reader->isStarted())
-        rejectLate();
+        reject(ErrorKind::RequestTimeout);
     else
         close();
 }
 
-void CallerConnection::rejectLate()
-{
-    m_input.clear();
-    m_reader.reset();
-    m_closeWhenSent = true;
-    write(bareAnswer("408 Request Timeout"));
-}
-
 } // namespace monsoonsail
--- a/drivers/traffic/caller_connection.h
+++ b/drivers/traffic/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/error_kind.h"
 #include "core/instant.h"
 #include "drivers/http/message_reader.h"
 #include "drivers/loop/descriptor_handler.h"
@@ -66,8 +67,7 @@
     void process();
     void startReader();
     void complete();
-    void reject(const std::error_code &error);
-    void rejectLate();
+    void reject(ErrorKind kind);
     void flush();
     void watch();
 
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -285,7 +285,11 @@
             {{"kind", answer.name},
              {"cause", cause},
              {"account", accountName(record)},
-             {"revision", toLog(record.configuration ? record.configuration->revision() : 0)}});
+             {"host", record.arrival.host},
+             {"path", record.arrival.path},
+             {"revision", toLog(record.configuration ? record.configuration->revision() : 0)},
+             {"configuration_age_ms", toMs(now - m_context.configurationAsOf)},
+             {"endpoints_age_ms", toMs(now - m_context.endpointsAsOf)}});
     m_context.metrics.refused(accountName(record), kind);
     if (!record.mayHaveRun && record.account != nullptr)
         m_context.allowances.refund(record.account->name, record.charge, now);
