--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Seeds of the fault soak, FIRST-LAST.
 SEEDS ?= 1000-1049
 
-.PHONY: all packages build test check format faults sanitize clean
+.PHONY: all packages build test check format faults mutants sanitize clean
 
 all: build
 
@@ -20,6 +20,7 @@
 check: build
 	@bash scripts/check_format.sh
 	@bash scripts/check_platform_words.sh
+	@bash scripts/check_log_events.sh
 	@bash scripts/lint.sh $(BUILD)
 	@bash scripts/run_tests.sh $(BUILD)
 
@@ -29,6 +30,9 @@
 faults: build
 	@MONSOONSAIL_BIN=$(BUILD) MONSOONSAIL_FAULT_SEEDS=$(SEEDS) $(BUILD)/processes_tests FaultSoakTest
 
+mutants: build
+	@bash scripts/mutants.sh $(BUILD)
+
 sanitize: packages
 	@bash scripts/sanitize.sh address
 	@bash scripts/sanitize.sh thread
--- a/tests/processes/entry_daemon_test.cpp
+++ b/tests/processes/entry_daemon_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(streamGoesOnAtAnotherEndpoint);
     CPPUNIT_TEST(leavingEndpointGetsNothingNew);
     CPPUNIT_TEST(newConfigurationComesIntoForce);
+    CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(removedKeyIsRefused);
     CPPUNIT_TEST(usageIsReported);
     CPPUNIT_TEST(metricsAreServed);
@@ -227,6 +228,16 @@
         }));
     }
 
+    void configurationNeverGoesBack()
+    {
+        m_site->startUp(2);
+        m_site->publish(5);
+        m_site->publish(3, "nowhere");
+        std::this_thread::sleep_for(configurationBound);
+        assertServed(0, "/book/1");
+        assertServed(1, "/book/1");
+    }
+
     void removedKeyIsRefused()
     {
         m_site->startUp(2);
