Let the readers of the store record the use of allowances

Change: the readers write, who are settled within a second; nothing is written before the last record has been read.

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -255,7 +255,8 @@
     m_keeper.advance(m_mesh);
     m_usage.advance(m_keeper.fencingNumber());
     manageFleet();
-    m_allowanceJournal.advance(m_keeper.fencingNumber() != 0, m_mesh.clockCorrection());
+    // The readers are settled within a second of a start; the holder of the duties takes seconds.
+    m_allowanceJournal.advance(m_endpointFollower.isActive(), m_mesh.clockCorrection());
     m_log.reportDropped();
     m_logs.flush();
     checkStop();
--- a/servers/allowance/allowance_journal.cpp
+++ b/servers/allowance/allowance_journal.cpp
@@ -31,6 +31,7 @@
 
 void AllowanceJournal::handleRecovered(std::error_code error, const LogRecords &records)
 {
+    m_hasRead = true;
     if (error) {
         m_decisions.write(LogLevel::Warning, "allowances-not-recovered", {},
                           {{"error", error.message()}});
@@ -67,7 +68,7 @@
 void AllowanceJournal::advance(bool isWriter, Duration clockCorrection)
 {
     const Instant now = m_now();
-    if (!isWriter || m_busy || now < m_nextAt)
+    if (!isWriter || !m_hasRead || m_busy || now < m_nextAt)
         return;
     const AllowanceLedger::Uses uses = m_ledger.heavyUses(now);
     m_nextAt = now + interval;
--- a/servers/allowance/allowance_journal.h
+++ b/servers/allowance/allowance_journal.h
@@ -34,6 +34,7 @@
     RecordLog &m_log;
     const std::function<Instant()> m_now;
     DecisionLog &m_decisions;
+    bool m_hasRead = false; ///< Nothing is stored before, or it would replace what was used.
     bool m_busy = false;
     Instant m_nextAt;
 };
