--- a/tests/core/error_kind_test.cpp
+++ b/tests/core/error_kind_test.cpp
@@ -40,8 +40,7 @@
     void errorCodeNamesItsCause()
     {
         const std::error_code error = ErrorKind::NoEndpoint;
-        CPPUNIT_ASSERT_EQUAL(std::string("No endpoint can take the request."),
-                             error.message());
+        CPPUNIT_ASSERT_EQUAL(std::string("No endpoint can take the request."), error.message());
     }
 };
 
