Read endpoints and configuration again after a sleep

Ruled out: late readers. Before: no test plays the wake of an instance that does not read; SleepWatchTest covers the notice only.

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -244,6 +244,12 @@
 {
     m_tickTimer = m_loop.timers().schedule(m_loop.now() + tickInterval, [this] { tick(); });
     const Instant now = m_loop.now();
+    if (m_sleepWatch.hasSlept(now)) {
+        // Endpoints may have left meanwhile, and digests come only four times a second.
+        m_log.write(LogLevel::Info, "slept", {}, {});
+        m_endpointFollower.refresh();
+        m_configurationFollower.refresh();
+    }
     m_core.moveFromSilent(now);
     m_core.evacuate(now);
     m_mesh.expire(now);
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -17,6 +17,7 @@
 #include "servers/fleet/fleet_manager.h"
 #include "servers/mesh/mesh.h"
 #include "servers/mesh/presence.h"
+#include "servers/mesh/sleep_watch.h"
 #include "servers/ports/traffic_listener.h"
 #include "servers/serving/serving_core.h"
 #include "servers/site/configuration_feed.h"
@@ -87,6 +88,7 @@
     DigestSocket m_digests;
     Presence m_presence;
     ReaderRole m_readerRole;
+    SleepWatch m_sleepWatch;
     platform::DutyClient m_duties;
     DutyKeeper m_keeper;
     UsageReporter m_usage;
