Order news of endpoints by the log, and write shared pieces once

News were ordered by when the teller had learned them. Change: every entry and every drop carries its place in the list's log, and what comes from an earlier place changes nothing.

--- a/core/instant.h
+++ b/core/instant.h
@@ -31,4 +31,24 @@
     return instant.time_since_epoch().count();
 }
 
+constexpr double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+constexpr double toMs(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+constexpr Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+constexpr Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
 } // namespace monsoonsail
--- a/drivers/logging/json_decision_log.cpp
+++ b/drivers/logging/json_decision_log.cpp
@@ -74,7 +74,7 @@
 {
     Budget &budget = m_budgets.at(indexOf(level));
     const double rate = linesPerSecond.at(indexOf(level));
-    const double elapsed = std::chrono::duration<double>(now - budget.filledAt).count();
+    const double elapsed = toSeconds(now - budget.filledAt);
     budget.lines = std::min(rate, budget.lines + elapsed * rate);
     budget.filledAt = now;
     if (budget.lines < 1)
--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 /// Changes with every change of the layout; digests of another layout are dropped.
-constexpr int layoutVersion = 1;
+constexpr int layoutVersion = 2;
 
 json encodeNews(const Digest::EndpointNews &news)
 {
@@ -26,7 +26,7 @@
             listing.leavesAt ? toMicroseconds(*listing.leavesAt) : std::int64_t{0},
             toMicroseconds(listing.coldUntil),
             static_cast<int>(news.state),
-            news.changedAgo.count(),
+            listing.position,
             toMicroseconds(news.usableUntil)};
 }
 
@@ -47,7 +47,7 @@
         listing.leavesAt = instantFromMicroseconds(leavesAt);
     listing.coldUntil = instantFromMicroseconds(row.at(10).get<std::int64_t>());
     news.state = static_cast<EndpointState>(row.at(11).get<int>());
-    news.changedAgo = Duration(row.at(12).get<std::int64_t>());
+    listing.position = row.at(12).get<std::uint64_t>();
     news.usableUntil = instantFromMicroseconds(row.at(13).get<std::int64_t>());
     return news;
 }
--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -20,11 +20,6 @@
     return bounds;
 }
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 template <typename Series, typename Make>
 Series &seriesOf(std::map<std::pair<std::string, std::string>, Series *> &known,
                  std::string_view first, std::string_view second, Make make)
--- a/drivers/net/socket.cpp
+++ b/drivers/net/socket.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <string>
 #include <utility>
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr int backlog = 1024;
+/// Taken from a socket at once; a body in one piece or many events of a stream.
+constexpr std::size_t readBytes = 32UL * 1024;
 
 void setFlag(int descriptor, int level, int name)
 {
@@ -106,6 +109,20 @@
     return socket;
 }
 
+std::optional<std::size_t> Socket::receiveInto(std::string &bytes, std::error_code &error) const
+{
+    std::array<char, readBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    const std::size_t size = receive(buffer, error);
+    if (error == std::errc::operation_would_block) {
+        error.clear();
+        return 0;
+    }
+    if (error || size == 0)
+        return std::nullopt;
+    bytes.append(buffer.data(), size);
+    return size;
+}
+
 std::size_t Socket::receive(std::span<char> buffer, std::error_code &error) const
 {
     error.clear();
--- a/drivers/net/socket.h
+++ b/drivers/net/socket.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <system_error>
 
@@ -31,6 +33,9 @@
 
     /// Returns the next connection, or a closed socket if there is none at present.
     Socket accept() const;
+    /// Appends what has arrived to `bytes` and returns its size, 0 if there is nothing yet. Returns
+    /// nothing if the connection has ended; `error` is unset if the other end closed it in order.
+    std::optional<std::size_t> receiveInto(std::string &bytes, std::error_code &error) const;
     /// Returns the bytes received, 0 at the end of the stream. No data is an error of its own
     /// (operation_would_block).
     std::size_t receive(std::span<char> buffer, std::error_code &error) const;
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -13,11 +13,6 @@
 constexpr double maxMs = 3'600'000;
 constexpr double maxRequests = 1e9;
 
-Duration seconds(double count)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
-}
-
 /// Returns the digest addresses of the instances whose "IP:port" addresses, separated by commas,
 /// are given. All instances receive digests on the same port.
 std::vector<std::string> peerAddresses(std::string_view seeds, std::string_view digestListen)
@@ -53,20 +48,21 @@
     settings.storeAddress = reader.string("store");
     settings.dutyAddress = reader.string("duties");
     settings.peerAddresses = peerAddresses(reader.string("seeds", ""), settings.digestListen);
-    settings.stopGrace = seconds(reader.number("stop_grace_s", 0, maxSeconds));
+    settings.stopGrace = fromSeconds(reader.number("stop_grace_s", 0, maxSeconds));
     reader.optionalTable("repeats", [&settings](TableReader &table) {
         settings.limits.repeats = {.ratio = table.number("ratio", 0, 1),
                                    .slack = table.number("slack", 0, maxRequests),
-                                   .window = seconds(table.number("window_s", 0, maxSeconds))};
+                                   .window = fromSeconds(table.number("window_s", 0, maxSeconds))};
     });
     reader.optionalTable("allowances", [&settings](TableReader &table) {
-        settings.limits.allowances = {.window = seconds(table.number("window_s", 0.1, maxSeconds)),
-                                      .excess = table.number("excess", 0, 1),
-                                      .slack = table.number("slack", 0, maxRequests)};
+        settings.limits.allowances = {
+                .window = fromSeconds(table.number("window_s", 0.1, maxSeconds)),
+                .excess = table.number("excess", 0, 1),
+                .slack = table.number("slack", 0, maxRequests)};
     });
     reader.optionalTable("usage", [&settings](TableReader &table) {
-        settings.limits.usageWindow = seconds(table.number("window_s", 0.1, maxSeconds));
-        settings.limits.usageDue = seconds(table.number("due_s", 0, maxSeconds));
+        settings.limits.usageWindow = fromSeconds(table.number("window_s", 0.1, maxSeconds));
+        settings.limits.usageDue = fromSeconds(table.number("due_s", 0, maxSeconds));
     });
     reader.optionalTable("fleet", [&settings](TableReader &table) {
         FleetPolicy &fleet = settings.limits.fleet;
@@ -74,9 +70,9 @@
         fleet.onDemandUse = table.number("on_demand_use", 0.01, 1, fleet.onDemandUse);
         fleet.slotUse = table.number("slot_use", 0.01, 1, fleet.slotUse);
     });
-    settings.limits.heartbeat = seconds(reader.number("heartbeat_ms", 1, maxMs, 1200) / 1000);
-    settings.limits.drainTime = seconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
-    settings.limits.dutyLease = seconds(reader.number("duty_lease_ms", 0, maxMs, 3000) / 1000);
+    settings.limits.heartbeat = fromSeconds(reader.number("heartbeat_ms", 1, maxMs, 1200) / 1000);
+    settings.limits.drainTime = fromSeconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
+    settings.limits.dutyLease = fromSeconds(reader.number("duty_lease_ms", 0, maxMs, 3000) / 1000);
     reader.finish();
     return settings;
 }
--- a/drivers/traffic/answer_writer.cpp
+++ b/drivers/traffic/answer_writer.cpp
@@ -1,5 +1,6 @@
 #include "drivers/traffic/answer_writer.h"
 
+#include "core/instant.h"
 #include "core/outcome.h"
 
 #include <nlohmann/json.hpp>
@@ -48,8 +49,7 @@
 std::string seconds(std::chrono::milliseconds duration)
 {
     std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.3f",
-                  std::chrono::duration<double>(duration).count());
+    std::snprintf(text.data(), text.size(), "%.3f", toSeconds(duration));
     return text.data();
 }
 
--- a/drivers/traffic/caller_connection.cpp
+++ b/drivers/traffic/caller_connection.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 32UL * 1024;
 /// Bytes of answers that wait for a caller; more than any answer of a caller that reads.
 constexpr std::size_t maxOutputBytes = 16UL * 1024 * 1024;
 /// Bytes of pipelined requests that are taken from the socket while one is answered.
@@ -64,16 +63,14 @@
 
 void CallerConnection::receive()
 {
-    std::array<char, readBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
     std::error_code error;
-    const std::size_t size = m_socket.receive(buffer, error);
-    if (error == std::errc::operation_would_block)
-        return;
-    if (error || size == 0) {
+    const auto size = m_socket.receiveInto(m_input, error);
+    if (!size) {
         close();
         return;
     }
-    m_input.append(buffer.data(), size);
+    if (*size == 0)
+        return;
     process();
 }
 
--- a/drivers/traffic/endpoint_connection.cpp
+++ b/drivers/traffic/endpoint_connection.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 32UL * 1024;
 /// Sent bytes that stay unacknowledged for so long reset the connection: an endpoint behind a
 /// partition does not answer at all.
 constexpr unsigned userTimeoutMs = 3000;
@@ -85,16 +84,14 @@
 
 void EndpointConnection::receive()
 {
-    std::array<char, readBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
     std::error_code error;
-    const std::size_t size = m_socket.receive(buffer, error);
-    if (error == std::errc::operation_would_block)
-        return;
-    if (error || size == 0) {
+    const auto size = m_socket.receiveInto(m_input, error);
+    if (!size) {
         fail(!error, error ? error.message() : "the endpoint closed the connection");
         return;
     }
-    m_input.append(buffer.data(), size);
+    if (*size == 0)
+        return;
     if (m_user == nullptr) {
         fail(false, "bytes without a request");
         return;
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -1,5 +1,7 @@
 #include "main/monsoonsaild/control_plane.h"
 
+#include "main/monsoonsaild/metrics_page.h"
+#include "servers/endpoints/endpoint_news.h"
 #include "servers/fleet/spread_fleet_planner.h"
 
 #include <algorithm>
@@ -193,29 +195,8 @@
 {
     if (head.target != "/metrics")
         return {.status = statusNotFound, .body = "not found\n"};
-    const Instant now = m_loop.now();
-    const auto ageOf = [now](Instant asOf) {
-        return std::chrono::duration<double>(now - asOf).count();
-    };
-    const auto usable = std::ranges::count_if(m_context.endpoints.all(), [now](const auto &entry) {
-        return entry.second.isUsable(now);
-    });
-    m_metrics.setGauge("monsoonsail_requests", "Requests in progress",
-                       static_cast<double>(m_core.requestCount()));
-    m_metrics.setGauge("monsoonsail_usable_endpoints", "Endpoints that may be given work",
-                       static_cast<double>(usable));
-    m_metrics.setGauge("monsoonsail_peers", "Entry instances that were heard of lately",
-                       static_cast<double>(m_mesh.expectedCount()));
-    m_metrics.setGauge(
-            "monsoonsail_configuration_revision", "Revision in force, 0 before the first",
-            m_context.configuration ? static_cast<double>(m_context.configuration->revision()) : 0);
-    m_metrics.setGauge("monsoonsail_configuration_age_seconds",
-                       "Time since the configuration was known to be the newest",
-                       ageOf(m_context.configurationAsOf));
-    m_metrics.setGauge("monsoonsail_endpoints_age_seconds",
-                       "Time since all changes of endpoints were known",
-                       ageOf(m_context.endpointsAsOf));
-    return {.contentType = "text/plain; version=0.0.4", .body = m_metrics.text()};
+    return {.contentType = "text/plain; version=0.0.4",
+            .body = metricsPage(m_metrics, m_context, m_core, m_mesh, m_loop.now())};
 }
 
 bool ControlPlane::isReady() const
@@ -336,17 +317,12 @@
                   .uses = m_context.allowances.tellUses(),
                   .work = m_context.work.work(),
                   .counts = m_context.meter.recent(),
+                  .news = endpointNews(m_context.endpoints, now - newsMemory),
                   .configurationAge = now - m_context.configurationAsOf,
                   .endpointsAge = now - m_context.endpointsAsOf,
                   .neighbours = m_mesh.liveAddresses(now)};
     for (Digest::EndpointLoad &load : m_context.servicePlacer->loads(now))
         digest.loads.push_back(std::move(load));
-    for (const Endpoint *endpoint : m_context.endpoints.changedSince(now - newsMemory)) {
-        digest.news.push_back({.listing = endpoint->listing,
-                               .state = endpoint->state,
-                               .changedAgo = now - endpoint->stateSince,
-                               .usableUntil = endpoint->usableUntil});
-    }
     m_digests.send(digest, m_mesh.targets(now));
 }
 
@@ -362,7 +338,7 @@
     m_context.enginePlacer->peerReported(*peer, now);
     m_context.servicePlacer->peerReported(*peer, now);
     for (const Digest::EndpointNews &news : digest.news)
-        applyNews(news, *peer);
+        applyNews(news, peer->clockOffset, m_context.endpoints, now);
     for (const Digest::EndpointLoad &load : digest.loads) {
         if (load.isSuspect)
             m_context.watch.suspectedByPeer(load.endpoint, now);
@@ -372,31 +348,6 @@
         m_configurationFollower.refresh();
 }
 
-void ControlPlane::applyNews(const Digest::EndpointNews &news, const Peer &peer)
-{
-    const Instant now = m_loop.now();
-    EndpointListing listing = news.listing;
-    // Instants are by the sender's clock.
-    listing.coldUntil -= peer.clockOffset;
-    if (listing.leavesAt)
-        *listing.leavesAt -= peer.clockOffset;
-    const EndpointId id = endpointId(listing.instance, listing.startedMs);
-    const Endpoint *known = m_context.endpoints.find(id);
-    // What was found out here later is not undone by news that is repeated.
-    const Instant changedAt = now - news.changedAgo;
-    if (known != nullptr && known->stateSince >= changedAt && news.state != EndpointState::Leaving)
-        return;
-    if (news.state == EndpointState::Unlisted) {
-        if (known != nullptr && !m_endpointFollower.isActive())
-            m_context.endpoints.unlisted(listing.instance, news.usableUntil - peer.clockOffset,
-                                         now);
-        return;
-    }
-    m_context.endpoints.listed(listing, now);
-    if (news.state == EndpointState::Leaving)
-        m_context.endpoints.leaving(id, now);
-}
-
 void ControlPlane::checkStop()
 {
     if (!m_stopping)
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -65,7 +65,6 @@
     void shareReading();
     void sendDigest();
     void sendDigestNow();
-    void applyNews(const Digest::EndpointNews &news, const Peer &peer);
     void digestReceived(const Digest &digest);
     void checkStop();
 
--- /dev/null
+++ b/main/monsoonsaild/metrics_page.cpp
@@ -0,0 +1,31 @@
+#include "main/monsoonsaild/metrics_page.h"
+
+#include <algorithm>
+
+namespace monsoonsail {
+
+std::string metricsPage(PrometheusMetrics &metrics, const ServingContext &context,
+                        const ServingCore &core, const Mesh &mesh, Instant now)
+{
+    const auto usable = std::ranges::count_if(context.endpoints.all(), [now](const auto &entry) {
+        return entry.second.isUsable(now);
+    });
+    const Revision revision = context.configuration ? context.configuration->revision() : 0;
+    metrics.setGauge("monsoonsail_requests", "Requests in progress",
+                     static_cast<double>(core.requestCount()));
+    metrics.setGauge("monsoonsail_usable_endpoints", "Endpoints that may be given work",
+                     static_cast<double>(usable));
+    metrics.setGauge("monsoonsail_peers", "Entry instances that were heard of lately",
+                     mesh.expectedCount());
+    metrics.setGauge("monsoonsail_configuration_revision", "Revision in force, 0 before the first",
+                     static_cast<double>(revision));
+    metrics.setGauge("monsoonsail_configuration_age_seconds",
+                     "Time since the configuration was known to be the newest",
+                     toSeconds(now - context.configurationAsOf));
+    metrics.setGauge("monsoonsail_endpoints_age_seconds",
+                     "Time since all changes of endpoints were known",
+                     toSeconds(now - context.endpointsAsOf));
+    return metrics.text();
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/main/monsoonsaild/metrics_page.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "drivers/metrics/prometheus_metrics.h"
+#include "servers/mesh/mesh.h"
+#include "servers/serving/serving_context.h"
+#include "servers/serving/serving_core.h"
+
+#include <string>
+
+namespace monsoonsail {
+
+/// Returns the metrics of the process, with gauges of what it believes now.
+std::string metricsPage(PrometheusMetrics &metrics, const ServingContext &context,
+                        const ServingCore &core, const Mesh &mesh, Instant now);
+
+} // namespace monsoonsail
--- a/servers/allowance/allowance_journal.cpp
+++ b/servers/allowance/allowance_journal.cpp
@@ -56,13 +56,10 @@
     const Instant now = m_now();
     const bool isRecorded = writtenAt != Instant();
     m_ledger.recovered(uses, writtenAt, now);
-    m_decisions.write(
-            LogLevel::Info, "allowances-recovered", {},
-            {{"accounts", static_cast<std::int64_t>(uses.size())},
-             {"recorded", isRecorded},
-             {"age_ms",
-              isRecorded ? std::chrono::duration<double, std::milli>(now - writtenAt).count()
-                         : 0}});
+    m_decisions.write(LogLevel::Info, "allowances-recovered", {},
+                      {{"accounts", static_cast<std::int64_t>(uses.size())},
+                       {"recorded", isRecorded},
+                       {"age_ms", isRecorded ? toMs(now - writtenAt) : 0}});
 }
 
 void AllowanceJournal::advance(bool isWriter, Duration clockCorrection)
--- a/servers/allowance/allowance_ledger.cpp
+++ b/servers/allowance/allowance_ledger.cpp
@@ -43,11 +43,6 @@
 constexpr Duration leastRetry = std::chrono::milliseconds(200);
 constexpr Duration mostRetry = std::chrono::seconds(5);
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 AllowanceLedger::Entry::Entry(Duration window, Instant now)
--- a/servers/duties/usage_reporter.cpp
+++ b/servers/duties/usage_reporter.cpp
@@ -101,6 +101,21 @@
                  });
 }
 
+bool UsageReporter::hasRead(std::error_code error, const LogRecords &records, LogOffset &offset)
+{
+    m_step = Step::Idle;
+    if (error == StoreError::Expired) {
+        offset = records.first;
+        return false;
+    }
+    if (error) {
+        pause();
+        return false;
+    }
+    offset = records.end;
+    return true;
+}
+
 void UsageReporter::readFixed()
 {
     m_step = Step::ReadingFixed;
@@ -112,21 +127,13 @@
 
 void UsageReporter::handleFixedRead(std::error_code error, const LogRecords &records)
 {
-    m_step = Step::Idle;
-    if (error == StoreError::Expired) {
-        m_fixedOffset = records.first;
+    if (!hasRead(error, records, m_fixedOffset))
         return;
-    }
-    if (error) {
-        pause();
-        return;
-    }
     for (const LogRecord &record : records.records) {
         // The first record of a window counts.
         if (const auto usage = decodeUsage(record.value))
             m_fixed.emplace(usage->window, usage->counts);
     }
-    m_fixedOffset = records.end;
     m_fixedKnown = true;
 }
 
@@ -141,20 +148,12 @@
 
 void UsageReporter::handleCountsRead(std::error_code error, const LogRecords &records)
 {
-    m_step = Step::Idle;
-    if (error == StoreError::Expired) {
-        m_countsOffset = records.first;
+    if (!hasRead(error, records, m_countsOffset))
         return;
-    }
-    if (error) {
-        pause();
-        return;
-    }
     for (const LogRecord &record : records.records) {
         if (const auto usage = decodeUsage(record.value))
             m_meter.report(usage->incarnation, usage->window, usage->counts);
     }
-    m_countsOffset = records.end;
     fix();
 }
 
--- a/servers/duties/usage_reporter.h
+++ b/servers/duties/usage_reporter.h
@@ -49,6 +49,9 @@
     };
 
     void storeOwnCounts(WindowNumber window);
+    /// Handles how a read ended and moves `offset` behind what was read. Returns whether there are
+    /// records to take over.
+    bool hasRead(std::error_code error, const LogRecords &records, LogOffset &offset);
     void readFixed();
     void readCounts();
     void fix();
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -38,19 +38,20 @@
 void EndpointFeed::changed(const LogRecord &record, Instant now)
 {
     std::string fault;
-    const auto listing = m_codec.listing(record.key, record.value, now, fault);
+    auto listing = m_codec.listing(record.key, record.value, now, fault);
     if (!listing) {
         m_context.log.write(LogLevel::Warning, "endpoint-entry-unreadable", {},
                             {{"instance", record.key}, {"reason", fault}});
         return;
     }
+    listing->position = record.offset;
     m_context.endpoints.listed(*listing, now);
 }
 
-void EndpointFeed::dropped(const std::string &key, Instant now)
+void EndpointFeed::dropped(const std::string &key, LogOffset offset, Instant now)
 {
     const Instant lapseEnd = mayHaveLapsed(now) ? now + lapseTime : m_lapseEnd;
-    m_context.endpoints.unlisted(key, lapseEnd, now);
+    m_context.endpoints.unlisted(key, offset, lapseEnd, now);
 }
 
 void EndpointFeed::current(Instant asOf, Instant now)
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -20,7 +20,7 @@
     void setNewsHandler(std::function<void()> handler) { m_newsHandler = std::move(handler); }
 
     void changed(const LogRecord &record, Instant now) override;
-    void dropped(const std::string &key, Instant now) override;
+    void dropped(const std::string &key, LogOffset offset, Instant now) override;
     void current(Instant asOf, Instant now) override;
     void interrupted(std::error_code error, Instant since, Instant now) override;
 
--- /dev/null
+++ b/servers/endpoints/endpoint_news.cpp
@@ -0,0 +1,38 @@
+#include "servers/endpoints/endpoint_news.h"
+
+namespace monsoonsail {
+
+std::vector<Digest::EndpointNews> endpointNews(const EndpointRegistry &endpoints, Instant since)
+{
+    std::vector<Digest::EndpointNews> news;
+    for (const Endpoint *endpoint : endpoints.changedSince(since)) {
+        news.push_back({.listing = endpoint->listing,
+                        .state = endpoint->state,
+                        .usableUntil = endpoint->usableUntil});
+        news.back().listing.position = endpoint->position;
+    }
+    return news;
+}
+
+// The place in the list's log decides what is later. When a peer has learned something does not:
+// one that has just started or woken learns old things late, and would tell them as new.
+void applyNews(const Digest::EndpointNews &news, Duration clockOffset, EndpointRegistry &endpoints,
+               Instant now)
+{
+    EndpointListing listing = news.listing;
+    listing.coldUntil -= clockOffset;
+    if (listing.leavesAt)
+        *listing.leavesAt -= clockOffset;
+    const EndpointId id = endpointId(listing.instance, listing.startedMs);
+    if (news.state == EndpointState::Unlisted) {
+        if (endpoints.find(id) != nullptr)
+            endpoints.unlisted(listing.instance, listing.position, news.usableUntil - clockOffset,
+                               now);
+        return;
+    }
+    endpoints.listed(listing, now);
+    if (news.state == EndpointState::Leaving)
+        endpoints.leaving(id, now);
+}
+
+} // namespace monsoonsail
--- a/servers/endpoints/endpoint_registry.cpp
+++ b/servers/endpoints/endpoint_registry.cpp
@@ -28,10 +28,13 @@
     m_current[listing.instance] = id;
     const auto [entry, isNew] = m_endpoints.try_emplace(id);
     Endpoint &endpoint = entry->second;
-    if (!isNew && endpoint.listing.sequence > listing.sequence)
+    const bool isOlder =
+            endpoint.position > listing.position || endpoint.listing.sequence > listing.sequence;
+    if (!isNew && isOlder)
         return;
     endpoint.id = id;
     endpoint.listing = listing;
+    endpoint.position = listing.position;
     const EndpointState state = listing.isLeaving || endpoint.state == EndpointState::Leaving
             ? EndpointState::Leaving
             : EndpointState::Ready;
@@ -39,12 +42,16 @@
         change(endpoint, state, now);
 }
 
-void EndpointRegistry::unlisted(const std::string &instance, Instant usableUntil, Instant now)
+void EndpointRegistry::unlisted(const std::string &instance, std::uint64_t position,
+                                Instant usableUntil, Instant now)
 {
     const auto current = m_current.find(instance);
     if (current == m_current.end())
         return;
     Endpoint &endpoint = m_endpoints.at(current->second);
+    if (endpoint.position > position)
+        return;
+    endpoint.position = position;
     if (endpoint.state != EndpointState::Ready)
         return;
     endpoint.usableUntil = usableUntil;
--- a/servers/endpoints/endpoint_registry.h
+++ b/servers/endpoints/endpoint_registry.h
@@ -23,8 +23,10 @@
     /// Takes over an entry of the list. Entries of an earlier incarnation, or older than what is
     /// known, change nothing.
     void listed(const EndpointListing &listing, Instant now);
-    /// The instance has no entry any more. Its endpoint stays usable until `usableUntil`.
-    void unlisted(const std::string &instance, Instant usableUntil, Instant now);
+    /// The instance has no entry any more since this place in the list's log, unless a later entry
+    /// is known. Its endpoint stays usable until `usableUntil`.
+    void unlisted(const std::string &instance, std::uint64_t position, Instant usableUntil,
+                  Instant now);
     /// The endpoint itself, or another entry instance, says that it leaves.
     void leaving(const EndpointId &endpoint, Instant now);
 
--- a/servers/endpoints/endpoint_watch.cpp
+++ b/servers/endpoints/endpoint_watch.cpp
@@ -21,11 +21,6 @@
 /// Peers repeat their suspicions with every digest.
 constexpr Duration peerSuspicion = std::chrono::milliseconds(700);
 
-double toMs(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 } // namespace
 
 void EndpointWatch::started(AttemptNumber attempt, const EndpointId &endpoint, bool isStream,
@@ -103,8 +98,7 @@
     const auto entry = m_endpoints.find(endpoint);
     if (entry == m_endpoints.end())
         return {};
-    return std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(entry->second.usualMs));
+    return fromMs(entry->second.usualMs);
 }
 
 bool EndpointWatch::isSuspect(const EndpointId &endpoint, Instant now) const
@@ -154,7 +148,7 @@
 
 void EndpointWatch::decay(Health &health, Instant now)
 {
-    const double seconds = std::chrono::duration<double>(now - health.decayedAt).count();
+    const double seconds = toSeconds(now - health.decayedAt);
     if (seconds <= 0)
         return;
     const double kept = std::exp(-seconds / memorySeconds);
--- a/servers/fleet/work_meter.cpp
+++ b/servers/fleet/work_meter.cpp
@@ -47,7 +47,7 @@
 void WorkMeter::measure(Instant now)
 {
     const bool isFirst = m_measuredAt == Instant::min();
-    const double seconds = isFirst ? 0 : std::chrono::duration<double>(now - m_measuredAt).count();
+    const double seconds = isFirst ? 0 : toSeconds(now - m_measuredAt);
     m_measuredAt = now;
     if (seconds <= 0)
         return;
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -28,8 +28,7 @@
     {
         EndpointListing listing; ///< Its instants are by the sender's clock.
         EndpointState state = EndpointState::Ready;
-        Duration changedAgo{}; ///< Between the change and the digest.
-        Instant usableUntil;   ///< See Endpoint.
+        Instant usableUntil; ///< See Endpoint.
     };
     /// Use of a client account's allowance, in the allowance's unit.
     struct AccountUse
--- a/servers/placement/engine_placer.cpp
+++ b/servers/placement/engine_placer.cpp
@@ -46,16 +46,6 @@
 constexpr double spreadMs = 4;
 constexpr Duration expiryInterval = std::chrono::seconds(5);
 
-double toMs(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-Duration fromMs(double ms)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
-}
-
 std::uint32_t tokensOf(std::span<const PromptPart> parts)
 {
     std::uint32_t tokens = 0;
--- a/servers/placement/service_placer.cpp
+++ b/servers/placement/service_placer.cpp
@@ -49,8 +49,7 @@
 
 double ServicePlacer::cost(const Endpoint &endpoint, Instant now)
 {
-    const double usual =
-            std::chrono::duration<double, std::milli>(m_watch.usualTime(endpoint.id)).count();
+    const double usual = toMs(m_watch.usualTime(endpoint.id));
     double time = usual > 0 ? usual : defaultTimeMs;
     if (endpoint.listing.coldUntil > now)
         time *= coldFactor;
--- a/servers/ports/decision_log.h
+++ b/servers/ports/decision_log.h
@@ -17,6 +17,12 @@
     Value value;
 };
 
+/// Returns a count as the value of a log field.
+constexpr std::int64_t toLog(std::uint64_t count)
+{
+    return static_cast<std::int64_t>(count);
+}
+
 enum class LogLevel {
     Detail, ///< The ordinary course of a request; left out first under load.
     Info,
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -23,10 +23,6 @@
 constexpr unsigned maxRunsAfterEnds = 1;
 /// Part of the time to the goal after which a second attempt starts beside the first.
 constexpr int hedgePercent = 40;
-/// Answer to a request for a move. Copies wait for each other on the engines' links.
-constexpr Duration moveTimeout = std::chrono::milliseconds(700);
-/// The stream of a run that was moved ends at once unless its connection has gone silent.
-constexpr Duration movedStreamEnd = std::chrono::milliseconds(150);
 constexpr int firstServerErrorStatus = 500;
 
 std::string_view accountName(const RequestRecord &record)
@@ -34,16 +30,6 @@
     return record.account != nullptr ? record.account->name.view() : std::string_view();
 }
 
-double toMs(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-std::int64_t toLog(std::uint64_t number)
-{
-    return static_cast<std::int64_t>(number);
-}
-
 } // namespace
 
 ServingCore::ServingCore(ServingContext &context)
@@ -329,146 +315,6 @@
         refuse(record, ErrorKind::DeadlineExceeded, std::nullopt, "deadline", now);
 }
 
-void ServingCore::moveFromSilent(Instant now)
-{
-    const std::vector<EndpointId> silent = m_context.watch.takeSilent(now);
-    if (silent.empty())
-        return;
-    for (const EndpointId &endpoint : silent) {
-        m_context.log.write(LogLevel::Warning, "endpoint-silent", {},
-                            {{"endpoint", endpoint.view()}});
-    }
-    std::vector<RequestNumber> affected;
-    for (const auto &[number, record] : m_requests) {
-        const bool runsThere = std::ranges::any_of(record.running, [&](const auto &attempt) {
-            return std::ranges::find(silent, attempt.endpoint) != silent.end();
-        });
-        if (runsThere && record.isStream() && record.isIdempotent())
-            affected.push_back(number);
-    }
-    for (const RequestNumber number : affected)
-        restart(m_requests.at(number), now);
-}
-
-void ServingCore::restart(RequestRecord &record, Instant now)
-{
-    record.mayHaveRun = true;
-    // Without another attempt the endpoint may still come back.
-    if (!mayTryAgain(record, now) || !m_context.repeats.take(record.service->name, now))
-        return;
-    ++record.repeats;
-    for (const RunningAttempt &attempt : record.running)
-        record.avoided.insert(attempt.endpoint);
-    m_launcher.stopAll(record, EndpointVerdict::Failed, now);
-    start(record, now);
-}
-
-void ServingCore::evacuate(Instant now)
-{
-    for (const Evacuation &evacuation :
-         dueEvacuations(m_requests, m_context.endpoints, m_context.limits.drainTime, now)) {
-        const auto entry = m_requests.find(evacuation.request);
-        if (entry == m_requests.end())
-            continue;
-        RequestRecord &record = entry->second;
-        if (evacuation.kind == Evacuation::Kind::Restart) {
-            restart(record, now);
-            continue;
-        }
-        const auto attempt =
-                std::ranges::find(record.running, evacuation.attempt, &RunningAttempt::number);
-        if (attempt != record.running.end())
-            askForMove(record, *attempt, now);
-    }
-}
-
-void ServingCore::askForMove(RequestRecord &record, RunningAttempt &attempt, Instant now)
-{
-    const std::optional<Placement> target = m_launcher.placeMoved(record, now);
-    const Endpoint *source = m_context.endpoints.find(attempt.endpoint);
-    if (!target || source == nullptr)
-        return;
-    attempt.move = RunningAttempt::Move::Asked;
-    ++attempt.moves;
-    attempt.moveTarget = target->endpoint;
-    m_context.log.write(LogLevel::Info, "run-moving", record.arrival.callerId,
-                        {{"attempt", toLog(attempt.number)},
-                         {"from", attempt.endpoint.view()},
-                         {"to", target->endpoint.view()}});
-    m_context.traffic.move(
-            {.request = record.arrival.number,
-             .attempt = attempt.number,
-             .source = source->id,
-             .sourceAddress = source->listing.address,
-             .targetAddress = m_context.endpoints.find(target->endpoint)->listing.address,
-             .deadline = now + moveTimeout});
-}
-
-void ServingCore::moved(const RunMoveEnd &end, Instant now)
-{
-    const auto entry = m_requests.find(end.request);
-    if (entry == m_requests.end())
-        return;
-    RequestRecord &record = entry->second;
-    const auto attempt = std::ranges::find(record.running, end.attempt, &RunningAttempt::number);
-    if (attempt == record.running.end() || attempt->move != RunningAttempt::Move::Asked)
-        return;
-    const bool isMoved = end.result == RunMoveResult::Moved;
-    if (!isMoved) {
-        m_context.log.write(LogLevel::Warning, "run-not-moved", record.arrival.callerId,
-                            {{"attempt", toLog(end.attempt)}, {"reason", end.reason}});
-    }
-    if (isMoved || end.result == RunMoveResult::Stopped) {
-        // A run that has stopped can go on at its source as long as that lives.
-        if (!isMoved)
-            attempt->moveTarget = attempt->endpoint;
-        attempt->move = RunningAttempt::Move::Done;
-        attempt->movedCache = {.kind = CacheSource::Kind::Moved,
-                               .address =
-                                       m_context.endpoints.find(attempt->endpoint)->listing.address,
-                               .handle = end.handle};
-        attempt->moveDeadline = now + movedStreamEnd;
-        if (attempt->hasEnded)
-            continueMoved(record, end.attempt, now);
-        else
-            schedule(record);
-        return;
-    }
-    attempt->move = RunningAttempt::Move::None;
-    if (!attempt->hasEnded)
-        return;
-    const RunningAttempt ended = *attempt;
-    record.running.erase(attempt);
-    record.mayHaveRun = true;
-    record.avoided.insert(ended.endpoint);
-    failed(record, ended,
-           {.request = end.request,
-            .attempt = end.attempt,
-            .result = AttemptResult::Interrupted,
-            .reason = end.reason},
-           now);
-}
-
-void ServingCore::continueMoved(RequestRecord &record, AttemptNumber number, Instant now)
-{
-    const auto running = std::ranges::find(record.running, number, &RunningAttempt::number);
-    const RunningAttempt attempt = *running;
-    record.running.erase(running);
-    if (!attempt.hasEnded) {
-        m_launcher.ended(record, attempt, EndpointVerdict::Unrelated, now);
-        m_context.traffic.cancel(record.arrival.number, number);
-    }
-    record.mayHaveRun = true;
-    if (m_context.endpoints.find(attempt.moveTarget) == nullptr) {
-        giveUp(record, ErrorKind::NoEndpoint, "the target of the move is gone", now);
-        return;
-    }
-    // The run that goes on is the same run.
-    --record.runs;
-    m_launcher.begin(record, {.endpoint = attempt.moveTarget, .cache = attempt.movedCache}, now);
-    schedule(record);
-}
-
 void ServingCore::meter(RequestRecord &record, Instant at)
 {
     if (record.account != nullptr && !std::exchange(record.isMetered, true))
--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -75,7 +75,7 @@
     }
     for (const std::string &key : m_keys) {
         if (!keys.contains(key))
-            m_sink.dropped(key, now);
+            m_sink.dropped(key, records.end, now);
     }
     m_keys = std::move(keys);
     m_next = records.end;
@@ -110,7 +110,7 @@
     for (const LogRecord &record : records.records) {
         if (record.value.empty()) {
             m_keys.erase(record.key);
-            m_sink.dropped(record.key, now);
+            m_sink.dropped(record.key, record.offset, now);
         } else {
             m_keys.insert(record.key);
             m_sink.changed(record, now);
--- a/servers/store/topic_follower.h
+++ b/servers/store/topic_follower.h
@@ -22,8 +22,8 @@
 
     /// A key has a new value.
     virtual void changed(const LogRecord &record, Instant now) = 0;
-    /// A key was dropped.
-    virtual void dropped(const std::string &key, Instant now) = 0;
+    /// A key was dropped, by the record at `offset` or an earlier one.
+    virtual void dropped(const std::string &key, LogOffset offset, Instant now) = 0;
     /// Everything up to `asOf` has been told.
     virtual void current(Instant asOf, Instant now) = 0;
     /// The store could not be read, by a call begun at `since`.
--- a/tests/servers/endpoint_feed_test.cpp
+++ b/tests/servers/endpoint_feed_test.cpp
@@ -74,7 +74,7 @@
     }
     void drop()
     {
-        m_feed->dropped("e1", m_bench.now);
+        m_feed->dropped("e1", 1, m_bench.now);
         m_feed->current(m_bench.now, m_bench.now);
     }
 
--- /dev/null
+++ b/tests/servers/endpoint_news_test.cpp
@@ -0,0 +1,115 @@
+#include "servers/endpoints/endpoint_news.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Guards that news of endpoints never undoes what is known from a later place in the list's log.
+class EndpointNewsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EndpointNewsTest);
+    CPPUNIT_TEST(newsSpreads);
+    CPPUNIT_TEST(latecomerDoesNotReviveADroppedEndpoint);
+    CPPUNIT_TEST(endpointThatIsListedAgainIsRevived);
+    CPPUNIT_TEST(olderDropDoesNotEndANewerEntry);
+    CPPUNIT_TEST(instantsAreMovedToThisClock);
+    CPPUNIT_TEST_SUITE_END();
+
+    Instant m_now = instantFromMicroseconds(1'000'000'000);
+
+    EndpointListing listing(std::uint64_t position) const
+    {
+        return {.instance = "i-1",
+                .startedMs = 1,
+                .sequence = position,
+                .position = position,
+                .service = ServiceId("model"),
+                .address = "10.0.0.1:80",
+                .zone = ZoneId("a")};
+    }
+    EndpointState state(const EndpointRegistry &endpoints) const
+    {
+        return endpoints.find(endpointId("i-1", 1))->state;
+    }
+    /// Has `from` tell everything of the last 1.5 s to `to`.
+    void tell(const EndpointRegistry &from, EndpointRegistry &to)
+    {
+        m_now += milliseconds(50);
+        for (const auto &news : endpointNews(from, m_now - milliseconds(1500)))
+            applyNews(news, {}, to, m_now);
+    }
+
+public:
+    void newsSpreads()
+    {
+        EndpointRegistry reader;
+        EndpointRegistry other;
+        reader.listed(listing(5), m_now);
+        tell(reader, other);
+        CPPUNIT_ASSERT(state(other) == EndpointState::Ready);
+        reader.unlisted("i-1", 6, Instant::min(), m_now);
+        tell(reader, other);
+        CPPUNIT_ASSERT(state(other) == EndpointState::Unlisted);
+    }
+
+    // sipka-fleet, trouble-3 --seed 280165533224: an instance that had just started heard of an
+    // endpoint from a peer that did not know of its drop yet, and told it to all as new (DRAIN).
+    void latecomerDoesNotReviveADroppedEndpoint()
+    {
+        EndpointRegistry reader;
+        EndpointRegistry behind;
+        EndpointRegistry started;
+        reader.listed(listing(5), m_now);
+        tell(reader, behind);
+        m_now += milliseconds(600);
+        reader.unlisted("i-1", 6, Instant::min(), m_now);
+        tell(behind, started);
+        CPPUNIT_ASSERT(state(started) == EndpointState::Ready);
+        tell(started, reader);
+        CPPUNIT_ASSERT(state(reader) == EndpointState::Unlisted);
+        tell(reader, started);
+        CPPUNIT_ASSERT(state(started) == EndpointState::Unlisted);
+    }
+
+    void endpointThatIsListedAgainIsRevived()
+    {
+        EndpointRegistry reader;
+        EndpointRegistry other;
+        reader.listed(listing(5), m_now);
+        reader.unlisted("i-1", 6, Instant::min(), m_now);
+        tell(reader, other);
+        reader.listed(listing(7), m_now);
+        tell(reader, other);
+        CPPUNIT_ASSERT(state(other) == EndpointState::Ready);
+    }
+
+    void olderDropDoesNotEndANewerEntry()
+    {
+        EndpointRegistry behind;
+        EndpointRegistry reader;
+        behind.listed(listing(5), m_now);
+        behind.unlisted("i-1", 6, Instant::min(), m_now);
+        reader.listed(listing(7), m_now);
+        tell(behind, reader);
+        CPPUNIT_ASSERT(state(reader) == EndpointState::Ready);
+    }
+
+    void instantsAreMovedToThisClock()
+    {
+        EndpointListing leaving = listing(5);
+        leaving.leavesAt = m_now + seconds(4);
+        leaving.coldUntil = m_now + seconds(3);
+        EndpointRegistry endpoints;
+        applyNews({.listing = leaving}, seconds(2), endpoints, m_now);
+        const Endpoint *endpoint = endpoints.find(endpointId("i-1", 1));
+        CPPUNIT_ASSERT(endpoint->listing.leavesAt == m_now + seconds(2));
+        CPPUNIT_ASSERT(endpoint->listing.coldUntil == m_now + seconds(1));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointNewsTest);
--- a/tests/servers/topic_follower_test.cpp
+++ b/tests/servers/topic_follower_test.cpp
@@ -23,7 +23,10 @@
     {
         values[record.key] = record.value;
     }
-    void dropped(const std::string &key, Instant /*now*/) override { values.erase(key); }
+    void dropped(const std::string &key, LogOffset /*offset*/, Instant /*now*/) override
+    {
+        values.erase(key);
+    }
     void current(Instant newAsOf, Instant /*now*/) override { asOf = newAsOf; }
     void interrupted(std::error_code /*error*/, Instant /*since*/, Instant /*now*/) override
     {
