Refuse news of endpoints from before the list was read

Cause: an instance that has just read the list of endpoints does not know the dropped ones. A peer that is behind (just started, or awake after a freeze) can still tell of one as listed, and the place of that entry had nothing to be compared with; the same holds if the drop is heard of before the entry. Change: the registry remembers how far the list has been read, and news of an unknown endpoint from before that place is refused. A drop of an endpoint that is not known yet is remembered. Also: forgetting an endpoint no longer assumes that its instance has a newest incarnation. Before: entryFromBeforeTheListWasReadIsNotTakenOver and dropOfAnUnknownEndpointOutlastsItsEntry fail.

--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -54,8 +54,9 @@
     m_context.endpoints.unlisted(key, offset, lapseEnd, now);
 }
 
-void EndpointFeed::current(Instant asOf, Instant now)
+void EndpointFeed::current(LogOffset end, Instant asOf, Instant now)
 {
+    m_context.endpoints.readTo(end);
     m_context.endpointsAsOf = asOf;
     if (std::exchange(m_hasNews, false) && m_newsHandler)
         m_newsHandler();
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -21,7 +21,7 @@
 
     void changed(const LogRecord &record, Instant now) override;
     void dropped(const std::string &key, LogOffset offset, Instant now) override;
-    void current(Instant asOf, Instant now) override;
+    void current(LogOffset end, Instant asOf, Instant now) override;
     void interrupted(std::error_code error, Instant since, Instant now) override;
 
 private:
--- a/servers/endpoints/endpoint_news.cpp
+++ b/servers/endpoints/endpoint_news.cpp
@@ -24,13 +24,16 @@
     if (listing.leavesAt)
         *listing.leavesAt -= clockOffset;
     const EndpointId id = endpointId(listing.instance, listing.startedMs);
+    // What was read of the list beyond this place would name the endpoint if it were still there.
+    const bool isKnown = endpoints.find(id) != nullptr;
+    if (!isKnown && endpoints.hasRead(listing.position))
+        return;
+    if (news.state != EndpointState::Unlisted || !isKnown)
+        endpoints.listed(listing, now);
     if (news.state == EndpointState::Unlisted) {
-        if (endpoints.find(id) != nullptr)
-            endpoints.unlisted(listing.instance, listing.position, news.usableUntil - clockOffset,
-                               now);
+        endpoints.unlisted(listing.instance, listing.position, news.usableUntil - clockOffset, now);
         return;
     }
-    endpoints.listed(listing, now);
     if (news.state == EndpointState::Leaving)
         endpoints.leaving(id, now);
 }
--- a/servers/endpoints/endpoint_registry.cpp
+++ b/servers/endpoints/endpoint_registry.cpp
@@ -91,8 +91,9 @@
     for (const EndpointId &id : forgotten) {
         const std::string instance = m_endpoints.at(id).listing.instance;
         m_endpoints.erase(id);
-        if (m_current.at(instance) == id)
-            m_current.erase(instance);
+        const auto current = m_current.find(instance);
+        if (current != m_current.end() && current->second == id)
+            m_current.erase(current);
     }
     return forgotten;
 }
--- a/servers/endpoints/endpoint_registry.h
+++ b/servers/endpoints/endpoint_registry.h
@@ -4,6 +4,8 @@
 #include "core/instant.h"
 #include "servers/endpoints/endpoint.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -27,11 +29,16 @@
     /// is known. Its endpoint stays usable until `usableUntil`.
     void unlisted(const std::string &instance, std::uint64_t position, Instant usableUntil,
                   Instant now);
+    /// All of the list's log before this place has been taken over: what is not known from it was
+    /// dropped. The place never falls.
+    void readTo(std::uint64_t position) { m_readTo = std::max(m_readTo, position); }
     /// The endpoint itself, or another entry instance, says that it leaves.
     void leaving(const EndpointId &endpoint, Instant now);
 
     /// Returns the endpoint, or nullptr if it was never listed or has been forgotten.
     const Endpoint *find(const EndpointId &endpoint) const;
+    /// Whether the list has been read beyond this place.
+    bool hasRead(std::uint64_t position) const { return position < m_readTo; }
     /// Returns all endpoints that are known, in order of id.
     const std::map<EndpointId, Endpoint> &all() const { return m_endpoints; }
     /// Returns the endpoints whose state has changed at `since` or later.
@@ -44,6 +51,7 @@
 
     std::map<EndpointId, Endpoint> m_endpoints;
     std::map<std::string, EndpointId, std::less<>> m_current; ///< Newest incarnation by instance.
+    std::uint64_t m_readTo = 0;
     Observer m_observer;
 };
 
--- a/servers/site/configuration_feed.cpp
+++ b/servers/site/configuration_feed.cpp
@@ -19,7 +19,7 @@
     offer(std::move(configuration), "store", now);
 }
 
-void ConfigurationFeed::current(Instant asOf, Instant /*now*/)
+void ConfigurationFeed::current(LogOffset /*end*/, Instant asOf, Instant /*now*/)
 {
     m_context.configurationAsOf = asOf;
 }
--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -79,7 +79,7 @@
     }
     m_keys = std::move(keys);
     m_next = records.end;
-    m_sink.current(m_startedAt, now);
+    m_sink.current(records.end, m_startedAt, now);
     succeeded();
 }
 
@@ -119,7 +119,8 @@
     m_next = records.end;
     // A read without records has waited for them until its wait was over.
     const bool hasWaited = records.records.empty();
-    m_sink.current(hasWaited ? std::min(m_startedAt + m_pace.wait, now) : m_startedAt, now);
+    m_sink.current(records.end, hasWaited ? std::min(m_startedAt + m_pace.wait, now) : m_startedAt,
+                   now);
     succeeded();
 }
 
--- a/servers/store/topic_follower.h
+++ b/servers/store/topic_follower.h
@@ -24,8 +24,8 @@
     virtual void changed(const LogRecord &record, Instant now) = 0;
     /// A key was dropped, by the record at `offset` or an earlier one.
     virtual void dropped(const std::string &key, LogOffset offset, Instant now) = 0;
-    /// Everything up to `asOf` has been told.
-    virtual void current(Instant asOf, Instant now) = 0;
+    /// Everything up to `asOf` has been told, and everything in the topic before `end`.
+    virtual void current(LogOffset end, Instant asOf, Instant now) = 0;
     /// The store could not be read, by a call begun at `since`.
     virtual void interrupted(std::error_code error, Instant since, Instant now) = 0;
 };
--- a/tests/servers/endpoint_feed_test.cpp
+++ b/tests/servers/endpoint_feed_test.cpp
@@ -58,7 +58,7 @@
     void appear()
     {
         m_feed->changed({.offset = 0, .key = "e1", .value = "{}"}, m_bench.now);
-        m_feed->current(m_bench.now, m_bench.now);
+        m_feed->current(1, m_bench.now, m_bench.now);
         CPPUNIT_ASSERT(isUsable());
     }
     bool isUsable()
@@ -75,7 +75,7 @@
     void drop()
     {
         m_feed->dropped("e1", 1, m_bench.now);
-        m_feed->current(m_bench.now, m_bench.now);
+        m_feed->current(2, m_bench.now, m_bench.now);
     }
 
 public:
@@ -111,7 +111,7 @@
     {
         appear();
         interrupt(seconds(3));
-        m_feed->current(m_bench.now, m_bench.now);
+        m_feed->current(1, m_bench.now, m_bench.now);
         m_bench.advance(milliseconds(500));
         drop();
         m_bench.advance(milliseconds(1200));
--- a/tests/servers/endpoint_news_test.cpp
+++ b/tests/servers/endpoint_news_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST_SUITE(EndpointNewsTest);
     CPPUNIT_TEST(newsSpreads);
     CPPUNIT_TEST(latecomerDoesNotReviveADroppedEndpoint);
+    CPPUNIT_TEST(entryFromBeforeTheListWasReadIsNotTakenOver);
+    CPPUNIT_TEST(dropOfAnUnknownEndpointOutlastsItsEntry);
     CPPUNIT_TEST(endpointThatIsListedAgainIsRevived);
     CPPUNIT_TEST(olderDropDoesNotEndANewerEntry);
     CPPUNIT_TEST(instantsAreMovedToThisClock);
@@ -76,6 +78,31 @@
         CPPUNIT_ASSERT(state(started) == EndpointState::Unlisted);
     }
 
+    void entryFromBeforeTheListWasReadIsNotTakenOver()
+    {
+        EndpointRegistry behind;
+        EndpointRegistry started;
+        behind.listed(listing(5), m_now);
+        // The endpoint was dropped at place 6, before the list was read.
+        started.readTo(7);
+        tell(behind, started);
+        CPPUNIT_ASSERT(started.find(endpointId("i-1", 1)) == nullptr);
+    }
+
+    void dropOfAnUnknownEndpointOutlastsItsEntry()
+    {
+        EndpointRegistry reader;
+        EndpointRegistry behind;
+        EndpointRegistry started;
+        started.readTo(3);
+        behind.listed(listing(5), m_now);
+        reader.listed(listing(5), m_now);
+        reader.unlisted("i-1", 6, Instant::min(), m_now);
+        tell(reader, started);
+        tell(behind, started);
+        CPPUNIT_ASSERT(state(started) == EndpointState::Unlisted);
+    }
+
     void endpointThatIsListedAgainIsRevived()
     {
         EndpointRegistry reader;
--- a/tests/servers/topic_follower_test.cpp
+++ b/tests/servers/topic_follower_test.cpp
@@ -27,7 +27,7 @@
     {
         values.erase(key);
     }
-    void current(Instant newAsOf, Instant /*now*/) override { asOf = newAsOf; }
+    void current(LogOffset /*end*/, Instant newAsOf, Instant /*now*/) override { asOf = newAsOf; }
     void interrupted(std::error_code /*error*/, Instant /*since*/, Instant /*now*/) override
     {
         ++interruptions;
