Count nothing from digests that come before the accounts are known

Cause: an instance that starts hears digests before it has read the configuration. They set its mark of peers that it has heard, so that the first digest after it knew the accounts counted all that a peer had let through since its own start as used just now.

--- a/servers/allowance/allowance_ledger.cpp
+++ b/servers/allowance/allowance_ledger.cpp
@@ -123,13 +123,8 @@
     Uses uses;
     for (auto &[account, entry] : m_entries) {
         advance(entry, now);
-        const double used = entry.used.sum();
-        if (entry.limit <= 0 || used <= muchUsed * entry.limit)
-            continue;
-        std::vector<double> &parts = uses[account] = entry.used.parts(windowParts, now);
-        // What is reserved for silent peers adds up to more than they can have used.
-        const double kept = std::min(1.0, entry.limit / used);
-        std::ranges::for_each(parts, [kept](double &amount) { amount *= kept; });
+        if (entry.limit > 0 && entry.used.sum() > muchUsed * entry.limit)
+            uses[account] = entry.used.parts(windowParts, now);
     }
     return uses;
 }
@@ -213,6 +208,9 @@
 
 void AllowanceLedger::peerReported(const Peer &peer, Instant now)
 {
+    // Digests that come before the accounts are known tell nothing of what came since.
+    if (m_entries.empty())
+        return;
     // An account that earlier digests did not name was not used until now; the counts of a peer
     // that was running before this process are older than what is of interest.
     std::string &heardIncarnation = m_heardIncarnations[peer.digest.instance];
