Let only the readers of the store tell news of endpoints

Cause: every instance repeated each change of an endpoint for 1.5 s in its own digests, so that a change crossed the mesh as often as there are pairs of instances. With 300 endpoints and 29 instances an entry instance moved 1,033 KB/s. Change: only readers tell news. An instance that hears no reader for 0.9 s, or only readers that have lost the store, reads the store itself, which is within the 2 s after which a leaving endpoint may not be used. Ruled out: loads, use of accounts and neighbours (1.1 KB of a digest together); the traffic of callers (192 KB/s at 10 instances).

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -321,7 +321,9 @@
                   .neighbours = m_mesh.neighbours(now)};
     for (Digest::EndpointLoad &load : m_context.servicePlacer->loads(now))
         digest.loads.push_back(std::move(load));
-    if (m_mesh.tellsNews(m_endpointFollower.isActive()))
+    // Repeated by all, a change would cross the mesh as often as there are pairs of instances. An
+    // instance that hears no reader reads the store itself.
+    if (m_endpointFollower.isActive())
         digest.news = m_endpointFeed.news(now);
     std::vector<std::string> targets = m_mesh.targets(now);
     const std::vector<std::string> holders = m_mesh.dutyHolders(now);
--- a/servers/mesh/mesh.cpp
+++ b/servers/mesh/mesh.cpp
@@ -128,11 +128,6 @@
     return isReader ? std::min(interval, longestReaderInterval) : interval;
 }
 
-bool Mesh::tellsNews(bool isReader) const
-{
-    return isReader || m_peers.size() < unslowedInstances;
-}
-
 Duration Mesh::newsInterval() const
 {
     return plainInterval(m_peers.size() + 1) * newsPercent / 100;
--- a/servers/mesh/mesh.h
+++ b/servers/mesh/mesh.h
@@ -45,9 +45,6 @@
     /// that what each instance has to send and to read stays bounded. Those that read the store
     /// tell their news sooner.
     Duration digestInterval(bool isReader) const;
-    /// Whether an instance tells what it knows of endpoints. Among many instances only those that
-    /// read the store do; among few the others repeat it in case the readers are cut off from some.
-    bool tellsNews(bool isReader) const;
     /// Returns the shortest time between two digests, when there is news to tell.
     Duration newsInterval() const;
     /// Returns the time until every other of so many instances has heard of something that happens
