Test the digests' codec and what instances hear that do not read the store

Cause: nothing held the layout of digests, and no test played the changes of an endpoint on instances that hear of them from readers only, nor the loss of both readers at that moment. The two process tests and the codec's tests were not seen red.

--- /dev/null
+++ b/tests/drivers/digest_codec_test.cpp
@@ -0,0 +1,102 @@
+#include "drivers/mesh/digest_codec.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+
+/// Guards that a digest arrives as it was sent, and that other bytes are dropped.
+class DigestCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DigestCodecTest);
+    CPPUNIT_TEST(everyFieldArrives);
+    CPPUNIT_TEST(tornDigestsAreDropped);
+    CPPUNIT_TEST(otherLayoutsAreDropped);
+    CPPUNIT_TEST_SUITE_END();
+
+    const Instant m_now = instantFromMicroseconds(1'000'000'000);
+
+    Digest digest() const
+    {
+        const EndpointListing listing{.instance = "i-1",
+                                      .startedMs = 17,
+                                      .sequence = 4,
+                                      .position = 90,
+                                      .service = ServiceId("model"),
+                                      .address = "10.0.0.1:80",
+                                      .zone = ZoneId("b"),
+                                      .slots = 32,
+                                      .isLeaving = true,
+                                      .isReclaimable = true,
+                                      .leavesAt = m_now + milliseconds(900),
+                                      .coldUntil = m_now};
+        return {.instance = "entry-1",
+                .incarnation = "entry-1.7",
+                .address = "10.0.0.9:7600",
+                .zone = ZoneId("a"),
+                .sequence = 12,
+                .sentAt = m_now,
+                .interval = milliseconds(1875),
+                .revision = 8,
+                .isStopping = true,
+                .refusesNew = true,
+                .isReader = true,
+                .fencingNumber = 3,
+                .loads = {{.endpoint = EndpointId("i-1/17"),
+                           .running = 2,
+                           .promptTokens = 300,
+                           .contextTokens = 4000,
+                           .isSuspect = true}},
+                .uses = {{.account = AccountId("club"), .asked = 900, .admitted = 800}},
+                .work = {{.service = ServiceId("model"), .promptTokens = 50, .outputTokens = 60}},
+                .counts = {{.window = 77, .account = AccountId("club"), .requests = 5}},
+                .news = {{.listing = listing,
+                          .state = EndpointState::Leaving,
+                          .usableUntil = m_now + milliseconds(5)}},
+                .hasMoreNews = true,
+                .configurationAge = milliseconds(40),
+                .endpointsAge = milliseconds(30),
+                .neighbours = {"10.0.0.8:7600"}};
+    }
+
+public:
+    void everyFieldArrives()
+    {
+        const Digest sent = digest();
+        const auto got = decodeDigest(encodeDigest(sent));
+        CPPUNIT_ASSERT(got.has_value());
+        // Encoding is deterministic, so equal bytes mean equal fields.
+        CPPUNIT_ASSERT(encodeDigest(*got) == encodeDigest(sent));
+        CPPUNIT_ASSERT(got->interval == sent.interval);
+        CPPUNIT_ASSERT(got->refusesNew && got->isStopping && got->isReader && got->hasMoreNews);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{90}, got->news.at(0).listing.position);
+        CPPUNIT_ASSERT(got->news.at(0).listing.leavesAt == m_now + milliseconds(900));
+        CPPUNIT_ASSERT(got->news.at(0).state == EndpointState::Leaving);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{300}, got->loads.at(0).promptTokens);
+        CPPUNIT_ASSERT(got->endpointsAge == sent.endpointsAge);
+        CPPUNIT_ASSERT(got->neighbours == sent.neighbours);
+    }
+
+    void tornDigestsAreDropped()
+    {
+        const std::string bytes = encodeDigest(digest());
+        for (std::size_t size = 0; size < bytes.size(); ++size)
+            CPPUNIT_ASSERT(!decodeDigest(std::string_view(bytes).substr(0, size)));
+    }
+
+    void otherLayoutsAreDropped()
+    {
+        std::string bytes = encodeDigest(digest());
+        // The layout's version is the first element, after the header of the array.
+        const auto version = bytes.find('\x03');
+        CPPUNIT_ASSERT(version != std::string::npos && version < 5);
+        bytes.at(version) = '\x02';
+        CPPUNIT_ASSERT(!decodeDigest(bytes));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DigestCodecTest);
--- a/tests/processes/entry_daemon_test.cpp
+++ b/tests/processes/entry_daemon_test.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(safeRequestIsRepeatedElsewhere);
     CPPUNIT_TEST(streamGoesOnAtAnotherEndpoint);
     CPPUNIT_TEST(leavingEndpointGetsNothingNew);
+    CPPUNIT_TEST(leavingEndpointIsKnownToInstancesThatDoNotRead);
+    CPPUNIT_TEST(leavingEndpointIsKnownThoughTheReadersDie);
     CPPUNIT_TEST(newConfigurationComesIntoForce);
     CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(removedKeyIsRefused);
@@ -74,6 +76,18 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(path + ": " + result.body, 200, result.status);
     }
 
+    /// Has all daemons from `firstDaemon` on send requests for three seconds.
+    void assertNothingNewGetsToTheFirstEndpoint(unsigned firstDaemon)
+    {
+        const auto daemons = static_cast<unsigned>(m_site->daemons().size());
+        for (unsigned round = 0; round < 100; ++round) {
+            assertServed(firstDaemon + round % (daemons - firstDaemon), "/look/1");
+            std::this_thread::sleep_for(milliseconds(30));
+        }
+        const auto latest = m_site->endpoints().front()->latestRunAfterLeaving();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(latest.count()) + " ms", latest < seconds(2));
+    }
+
 public:
     void setUp() override { m_site = std::make_unique<TestSite>(); }
     void tearDown() override { m_site.reset(); }
@@ -205,14 +219,27 @@
     void leavingEndpointGetsNothingNew()
     {
         m_site->startUp(2);
-        FakeEndpoint &endpoint = *m_site->endpoints().front();
-        endpoint.leave();
-        for (int round = 0; round < 100; ++round) {
-            assertServed(round % 2, "/look/1");
-            std::this_thread::sleep_for(milliseconds(30));
-        }
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(endpoint.latestRunAfterLeaving().count()) + " ms",
-                               endpoint.latestRunAfterLeaving() < seconds(2));
+        m_site->endpoints().front()->leave();
+        assertNothingNewGetsToTheFirstEndpoint(0);
+    }
+
+    // Two instances read the store; the others hear of changes from them.
+    void leavingEndpointIsKnownToInstancesThatDoNotRead()
+    {
+        m_site->startUp(4);
+        m_site->endpoints().front()->leave();
+        assertNothingNewGetsToTheFirstEndpoint(2);
+    }
+
+    void leavingEndpointIsKnownThoughTheReadersDie()
+    {
+        m_site->startUp(4);
+        // The first by name read; the others leave it to them within a second.
+        std::this_thread::sleep_for(seconds(2));
+        m_site->daemons().at(0)->signal(SIGKILL);
+        m_site->daemons().at(1)->signal(SIGKILL);
+        m_site->endpoints().front()->leave();
+        assertNothingNewGetsToTheFirstEndpoint(2);
     }
 
     void newConfigurationComesIntoForce()
