Make the test of notices in answers fail without the sending of the update

Cause: the instances had not settled who reads the store when the endpoint announced that it leaves, and a reader sends its own changes anyway. The other instances also had a second endpoint to choose. Change: the test waits for the readers to settle, and the other endpoint resets its connections while each instance is asked, so that an instance without the notice would repeat its request on the leaving endpoint.

--- a/tests/processes/entry_daemon_test.cpp
+++ b/tests/processes/entry_daemon_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(unsafeRequestRunsOnceIfItsAnswerIsLost);
     CPPUNIT_TEST(safeRequestIsRetriedAtAnotherEndpoint);
     CPPUNIT_TEST(streamIsResumedAtAnotherEndpoint);
+    CPPUNIT_TEST(waitingStreamLeavesASilentEndpoint);
     CPPUNIT_TEST(leavingEndpointGetsNoNewRequests);
     CPPUNIT_TEST(leavingReachesInstancesThatDoNotReadTheStore);
     CPPUNIT_TEST(leavingNoticeInAnAnswerReachesTheOtherInstances);
@@ -220,6 +221,26 @@
         CPPUNIT_ASSERT_EQUAL(2U, m_site->runCounter().runCount(result.id));
     }
 
+    // The connection to the endpoint stays open, and no other stream shows that it has failed.
+    void waitingStreamLeavesASilentEndpoint()
+    {
+        m_site->publish(1);
+        m_site->addEndpoint("plain");
+        FakeEndpoint &silent = m_site->addEndpoint("model");
+        DaemonProcess &daemon = m_site->addDaemon();
+        CPPUNIT_ASSERT(waitUntil(seconds(10), [&daemon] {
+            return daemon.isReady()
+                    && Caller().call(daemon.callerPort(), "/review/1", "s", callTimeout).status
+                    == 200;
+        }));
+        silent.proxy().setFault(FaultProxy::Fault::Silence);
+        auto open = std::async(std::launch::async, [this] { return call(0, "/review/1"); });
+        std::this_thread::sleep_for(milliseconds(200));
+        m_site->addEndpoint("model");
+        const CallResult result = open.get();
+        CPPUNIT_ASSERT_EQUAL(expectedStream(result.id), result.body);
+    }
+
     void leavingEndpointGetsNoNewRequests()
     {
         m_site->startUp(2);
@@ -238,6 +259,8 @@
     void leavingNoticeInAnAnswerReachesTheOtherInstances()
     {
         m_site->startUp(4);
+        // All instances read the store at first. A reader would also send on its own changes.
+        std::this_thread::sleep_for(seconds(2));
         FakeEndpoint &leaving = *m_site->endpoints().at(0);
         FakeEndpoint &staying = *m_site->endpoints().at(1);
         leaving.announceLeavingInAnswers();
@@ -249,9 +272,12 @@
         staying.proxy().setFault(FaultProxy::Fault::Reset);
         assertServed(3, "/look/1");
         CPPUNIT_ASSERT(leaving.timeOfLastRunAfterLeaving() > milliseconds(0));
-        staying.proxy().setFault(FaultProxy::Fault::None);
         std::this_thread::sleep_for(milliseconds(700));
         const auto timeUntilPropagated = std::chrono::steady_clock::now() - begin;
+        // An instance without the notice would repeat these requests on the leaving endpoint.
+        for (unsigned round = 0; round < 8; ++round)
+            call(round % 4, "/look/1");
+        staying.proxy().setFault(FaultProxy::Fault::None);
         for (unsigned round = 0; round < 60; ++round) {
             assertServed(round % 4, "/look/1");
             std::this_thread::sleep_for(milliseconds(10));
