Keep the reclaimable engines that a new holder of the duties finds

Cause: a new holder knew no target of its predecessor, so a lower plan took effect at once instead of after ten seconds. Also, an order that was refused because a zone has no engines was sent again every half second while the load grew. Change: the first target of a pool is what is ready there; a refused pool waits its two seconds for higher counts. Ruled out: the same for engines on demand, which cost several times as much (inheritedEnginesAreReplacedOneForOne). Tests newDutyHolderReleasesNoEnginesAtOnce and refusedOrderIsNotRepeatedWhileTheLoadGrows failed before.

--- a/servers/fleet/fleet_manager.cpp
+++ b/servers/fleet/fleet_manager.cpp
@@ -86,13 +86,17 @@
         else if (order.count > readyCount && now < order.repeatAt)
             demand.booting[key.second] = order.count - readyCount;
     }
-    const FleetPlan targets = delayDecreases(service.name, m_planner->plan(demand));
+    const FleetPlan targets = delayDecreases(service.name, m_planner->plan(demand), demand.ready);
     for (const auto &[pool, count] : targets) {
         const OrderKey key{service.name, pool};
         const auto entry = m_orders.find(key);
         if (entry != m_orders.end() && entry->second.isPending)
             continue;
         const unsigned readyCount = countOf(demand.ready, pool);
+        // A pool without engines refuses a higher count as well.
+        if (entry != m_orders.end() && entry->second.isRefused && entry->second.repeatAt > now
+            && count > readyCount)
+            continue;
         if (readyCount > count && !mayRelease(pool, count, demand, targets))
             continue;
         const bool isNew = entry == m_orders.end() || entry->second.count != count;
@@ -105,12 +109,17 @@
     }
 }
 
-FleetPlan FleetManager::delayDecreases(const ServiceId &service, const FleetPlan &plan)
+FleetPlan FleetManager::delayDecreases(const ServiceId &service, const FleetPlan &plan,
+                                       const FleetPlan &ready)
 {
     const Instant now = m_now();
     FleetPlan targets;
     for (const auto &[pool, count] : plan) {
-        const auto [entry, isNew] = m_targets.try_emplace({service, pool}, Target{.count = count});
+        // A new holder takes the reclaimable engines that it finds for the target of its
+        // predecessor. Those on demand cost too much to keep them until it knows the load better.
+        const unsigned found = pool.second == Market::Reclaimable ? countOf(ready, pool) : 0;
+        const auto [entry, isNew] =
+                m_targets.try_emplace({service, pool}, Target{.count = std::max(count, found)});
         Target &target = entry->second;
         if (count >= target.count) {
             target = {.count = count};
--- a/servers/fleet/fleet_manager.h
+++ b/servers/fleet/fleet_manager.h
@@ -53,7 +53,8 @@
     void manageService(const Service &service, std::optional<EnginesNeeded> needed);
     FleetPlan readyEngines(const ServiceId &service) const;
     const InheritedFleet &inheritedFleet(const ServiceId &service, const FleetPlan &ready);
-    FleetPlan delayDecreases(const ServiceId &service, const FleetPlan &plan);
+    FleetPlan delayDecreases(const ServiceId &service, const FleetPlan &plan,
+                             const FleetPlan &ready);
     static bool mayRelease(const EnginePool &pool, unsigned count, const FleetDemand &demand,
                            const FleetPlan &targets);
     void orderEngines(const OrderKey &key, unsigned count, const ScalingLimits &limits);
--- a/tests/servers/fleet_test.cpp
+++ b/tests/servers/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -57,7 +58,9 @@
     CPPUNIT_TEST(bootingEnginesAreCounted);
     CPPUNIT_TEST(enginesAreReleasedOnlyWhenReplacementsAreReady);
     CPPUNIT_TEST(engineCountDecreasesWithADelay);
+    CPPUNIT_TEST(newDutyHolderReleasesNoEnginesAtOnce);
     CPPUNIT_TEST(refusedOrderIsRepeatedLater);
+    CPPUNIT_TEST(refusedOrderIsNotRepeatedWhileTheLoadGrows);
     CPPUNIT_TEST(newDutyHolderRepeatsAllOrders);
     CPPUNIT_TEST_SUITE_END();
 
@@ -328,6 +331,34 @@
         CPPUNIT_ASSERT(m_cloud.orders.size() > orders);
     }
 
+    // Guards against releasing two thirds of the engines at the first plan of a new holder, in the
+    // second in which a zone is reclaimed.
+    void newDutyHolderReleasesNoEnginesAtOnce()
+    {
+        for (const std::string zone : {"a", "b", "c"})
+            listEngines(zone, Market::Reclaimable, 6);
+        m_needed = {.reclaimable = 4, .minimum = 3};
+        advance(seconds(8));
+        for (const std::string zone : {"a", "b", "c"})
+            CPPUNIT_ASSERT(orderedCount(zone, Market::Reclaimable).value_or(6) >= 6);
+        advance(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(2U, *orderedCount("a", Market::Reclaimable));
+    }
+
+    // Each order is a call to the platform; a zone without engines refuses it for any count.
+    void refusedOrderIsNotRepeatedWhileTheLoadGrows()
+    {
+        m_cloud.hasNoReclaimable = true;
+        for (int step = 0; step < 10; ++step) {
+            m_needed = {.reclaimable = 4.0 + step, .minimum = 0};
+            advance(milliseconds(500));
+        }
+        const auto orders =
+                std::ranges::count(m_cloud.orders, Market::Reclaimable, &EngineOrder::market);
+        // Three zones, one order in 2 s each.
+        CPPUNIT_ASSERT(orders <= 9);
+    }
+
     void newDutyHolderRepeatsAllOrders()
     {
         m_needed = {.reclaimable = 8, .minimum = 6};
