Check silent endpoints before their streams leave them

Cause: a pause of 0.8 s counted as a failure, but engines pause for longer while they read prompts. Engines that crash without a reset were hardly noticed: a stream without events waited for its deadline, since only peers could suspect its engine, and a peer reported a suspicion only while it still had runs there. Change: a pause leads to a status check on a connection of its own (its response names no request, so the connection is not reused); no answer in 0.4 s restarts resumable streams and is told to the peers for 4 s. An engine that answers but sends no event for 2.5 s has stalled. Runs that can't be repeated end once the platform has removed the entry as well, so that the caller can come back in time. A stream that waits for its first event for 1 s goes to an engine that should take half as long. Runs on failed engines don't use up the attempts of the route.

--- a/drivers/control/control_mailbox.h
+++ b/drivers/control/control_mailbox.h
@@ -42,6 +42,10 @@
     {
         m_loop.post([this, end] { m_listener.onRunMoveEnded(end); });
     }
+    void onEndpointChecked(const EndpointCheckEnd &end) override
+    {
+        m_loop.post([this, end] { m_listener.onEndpointChecked(end); });
+    }
     void onEndpointLeaving(const EndpointId &endpoint) override
     {
         m_loop.post([this, endpoint] { m_listener.onEndpointLeaving(endpoint); });
--- a/drivers/control/traffic_mailbox.h
+++ b/drivers/control/traffic_mailbox.h
@@ -28,6 +28,10 @@
     {
         m_loop.post([this, move] { m_traffic.moveRun(move); });
     }
+    void checkEndpoint(const EndpointCheck &check) override
+    {
+        m_loop.post([this, check] { m_traffic.checkEndpoint(check); });
+    }
     void refuse(const Refusal &refusal) override
     {
         m_loop.post([this, refusal] { m_traffic.refuse(refusal); });
--- a/drivers/traffic/endpoint_call.cpp
+++ b/drivers/traffic/endpoint_call.cpp
@@ -18,8 +18,8 @@
 {
     m_reader.setBodySink([this](std::string_view bytes) { m_body.append(bytes); });
     m_connection->setUser(this);
-    m_deadlineTimer =
-            m_loop.timers().schedule(deadline, [this] { finish({.reason = "response timeout"}); });
+    m_deadlineTimer = m_loop.timers().schedule(
+            deadline, [this] { finish({.reason = "response timeout", .hasTimedOut = true}); });
 }
 
 EndpointCall::~EndpointCall()
--- a/drivers/traffic/endpoint_call.h
+++ b/drivers/traffic/endpoint_call.h
@@ -22,6 +22,7 @@
         int status = 0; ///< HTTP status; 0 without a complete response.
         std::string body;
         std::string reason; ///< Why there is no complete response.
+        bool hasTimedOut = false;
     };
     using Callback = std::function<void(const Response &)>;
 
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -156,6 +156,27 @@
     m_endpointCalls.back()->send(request);
 }
 
+void TrafficRelay::checkEndpoint(const EndpointCheck &check)
+{
+    // The response doesn't name its request, so the connection is not shared with requests of
+    // callers: a late or second response could be taken for the answer to one of them.
+    std::error_code error;
+    auto connection = m_endpointPool.connect(check.endpoint, check.address, error);
+    if (!connection) {
+        m_listener.onEndpointChecked({.endpoint = check.endpoint});
+        return;
+    }
+    std::string request;
+    m_codec.writeStatusCheck(check, request);
+    const auto callback = [this,
+                           endpoint = check.endpoint](const EndpointCall::Response &response) {
+        m_listener.onEndpointChecked({.endpoint = endpoint, .isResponsive = !response.hasTimedOut});
+    };
+    m_endpointCalls.push_back(std::make_unique<EndpointCall>(m_loop, std::move(connection),
+                                                             check.deadline, callback));
+    m_endpointCalls.back()->send(request);
+}
+
 void TrafficRelay::onStreamEvent(Attempt &attempt, const ResponseHead &head, std::string_view event,
                                  std::optional<EventId> id)
 {
--- a/drivers/traffic/traffic_relay.h
+++ b/drivers/traffic/traffic_relay.h
@@ -38,6 +38,7 @@
     void startAttempt(const AttemptStart &attempt) override;
     void cancelAttempt(RequestNumber request, AttemptNumber attempt) override;
     void moveRun(const RunMove &move) override;
+    void checkEndpoint(const EndpointCheck &check) override;
     void refuse(const Refusal &refusal) override;
     void deliverAnswer(RequestNumber request, AttemptNumber attempt) override;
     void abortAnswer(RequestNumber request) override;
@@ -65,7 +66,6 @@
     Exchange *findExchange(RequestNumber request);
     std::shared_ptr<EndpointConnection> connect(const AttemptStart &start, bool &connectionReused,
                                                 std::string &reason);
-    void startResponse(Exchange &exchange, const ResponseHead &head);
     void dropAttempt(Exchange &exchange, AttemptNumber attempt);
     void eraseExchange(RequestNumber request);
     void reportProgress();
--- a/drivers/traffic/wire_codec.h
+++ b/drivers/traffic/wire_codec.h
@@ -4,6 +4,7 @@
 #include "core/instant.h"
 #include "drivers/http/message_head.h"
 #include "servers/serving/attempt_start.h"
+#include "servers/serving/endpoint_check.h"
 #include "servers/serving/refusal.h"
 #include "servers/serving/request_arrival.h"
 #include "servers/serving/run_move.h"
@@ -47,6 +48,8 @@
                                   std::string &output) const = 0;
     /// Sets the result of a move in `end` from the engine's response.
     virtual void parseMoveResponse(int status, std::string_view body, RunMoveEnd &end) const = 0;
+    /// Appends a complete request to which an endpoint responds at once, however busy it is.
+    virtual void writeStatusCheck(const EndpointCheck &check, std::string &output) const = 0;
     /// Appends the header lines that each error response to this request carries.
     virtual void writeErrorResponseFields(const RequestHead &head, std::string &output) const = 0;
 };
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -183,6 +183,12 @@
     armDeadlineTimer();
 }
 
+void ControlPlane::onEndpointChecked(const EndpointCheckEnd &end)
+{
+    m_core.handleEndpointCheckEnd(end, m_loop.now());
+    armDeadlineTimer();
+}
+
 void ControlPlane::onEndpointLeaving(const EndpointId &endpoint)
 {
     m_core.handleEndpointLeaving(endpoint, m_loop.now());
@@ -240,7 +246,8 @@
         m_endpointFollower.refresh();
         m_configurationFollower.refresh();
     }
-    m_core.restartStreamsOnSilentEndpoints(now);
+    m_core.checkSilentEndpoints(now);
+    m_core.restartLateStreams(now);
     m_core.evacuateLeavingEndpoints(now);
     m_mesh.expire(now);
     m_context.repeatBudget.setInstanceCount(m_mesh.instanceCount());
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -52,6 +52,7 @@
     void onStreamsProgressed(std::span<const StreamProgress> streams) override;
     void onAttemptEnded(const AttemptEnd &end) override;
     void onRunMoveEnded(const RunMoveEnd &end) override;
+    void onEndpointChecked(const EndpointCheckEnd &end) override;
     void onEndpointLeaving(const EndpointId &endpoint) override;
 
 private:
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -12,6 +12,8 @@
 namespace {
 /// Minimum time between two bulletins, so that changes in quick succession share one.
 constexpr Duration minBulletinInterval = std::chrono::milliseconds(40);
+/// A peer repeats its suspicions in every digest. They end this long after its next one is due.
+constexpr Duration suspicionMargin = std::chrono::milliseconds(450);
 } // namespace
 
 Duration ControlPlane::digestInterval() const
@@ -54,6 +56,14 @@
                           isComplete ? m_mesh.nextPeerAddresses(now) : std::vector<std::string>()};
     for (const Digest::EndpointLoad &load : m_context.servicePlacer->ownLoads(now))
         digest.endpointLoads.push_back(load);
+    // The runs of a silent endpoint have been restarted elsewhere, so it may not be among the
+    // loads.
+    for (const EndpointId &endpoint : m_context.endpointHealth.silentEndpoints(now)) {
+        if (std::ranges::find(digest.endpointLoads, EndpointHash(endpoint),
+                              &Digest::EndpointLoad::endpoint)
+            == digest.endpointLoads.end())
+            digest.endpointLoads.push_back({.endpoint = endpoint, .isSuspect = true});
+    }
     std::vector<std::string> targets = m_mesh.targets(now);
     const std::vector<std::string> holders = m_mesh.dutyHolders(now);
     std::erase_if(targets, [&holders](const std::string &address) {
@@ -92,7 +102,8 @@
     m_context.servicePlacer->applyPeerDigest(*peer, now);
     for (const Digest::EndpointLoad &load : peer->digest.endpointLoads) {
         if (load.isSuspect)
-            m_context.endpointHealth.recordPeerSuspicion(load.endpoint, now);
+            m_context.endpointHealth.recordPeerSuspicion(
+                    load.endpoint, now + peer->digest.interval + suspicionMargin);
     }
     const Revision ownRevision = m_context.configuration ? m_context.configuration->revision() : 0;
     if (peer->digest.revision > ownRevision && !m_configurationFollower.isActive())
--- a/servers/endpoints/endpoint_health_tracker.cpp
+++ b/servers/endpoints/endpoint_health_tracker.cpp
@@ -11,20 +11,23 @@
 constexpr double outcomeDecaySeconds = 4.0;
 /// Weight of the newest answer in the moving average of answer times.
 constexpr double newestAnswerWeight = 0.15;
-/// An endpoint is silent after silenceBaseTimeout + singleStreamTimeout / (number of streams)
-/// without an event. A stream has an event every six engine steps, and a step with a chunk of a
-/// prompt takes about 70 ms, so a single stream may pause for half a second. Events of several
-/// streams interleave, which shortens the pauses.
-constexpr Duration silenceBaseTimeout = std::chrono::milliseconds(300);
-constexpr Duration singleStreamTimeout = std::chrono::milliseconds(500);
-/// Time after which a silent endpoint is used again.
-constexpr Duration suspicionTime = std::chrono::milliseconds(2000);
+/// The status of an endpoint is checked after checkBaseDelay + singleStreamDelay / (number of
+/// streams) without an event. Events of several streams interleave, which shortens the pauses.
+/// Engines pause for longer while they read prompts, so the pause alone doesn't mean a failure.
+constexpr Duration checkBaseDelay = std::chrono::milliseconds(200);
+constexpr Duration singleStreamDelay = std::chrono::milliseconds(300);
+/// The same for a stream without any event, whose endpoint answers nothing else meanwhile.
+constexpr Duration firstEventCheckDelay = std::chrono::milliseconds(600);
+/// Minimum time between two checks of an endpoint.
+constexpr Duration checkInterval = std::chrono::milliseconds(1500);
+/// Time without an event of any stream after which an endpoint has stalled.
+constexpr Duration stallTimeout = std::chrono::milliseconds(2500);
+/// Time after which an endpoint that has failed or stalled is used again. The platform needs about
+/// as long to remove the entry of an endpoint that has failed.
+constexpr Duration suspicionTime = std::chrono::milliseconds(4000);
 constexpr Duration refusalSuspicionTime = std::chrono::milliseconds(500);
 /// Unavoidable runs that one instance may send to an endpoint that is closed to it.
 constexpr unsigned maxUnavoidableRuns = 2;
-/// Peers repeat their suspicions in every digest, so a suspicion that is no longer reported ends
-/// soon.
-constexpr Duration peerSuspicionTime = std::chrono::milliseconds(700);
 
 } // namespace
 
@@ -47,6 +50,7 @@
     }
     health.lastActivityAt = std::max(health.lastActivityAt, at);
     health.suspectUntil = std::min(health.suspectUntil, at);
+    health.silentUntil = std::min(health.silentUntil, at);
 }
 
 void EndpointHealthTracker::recordAttemptEnd(AttemptNumber number, EndpointVerdict verdict,
@@ -83,9 +87,10 @@
     }
 }
 
-void EndpointHealthTracker::recordPeerSuspicion(EndpointHash endpoint, Instant now)
+void EndpointHealthTracker::recordPeerSuspicion(EndpointHash endpoint, Instant until)
 {
-    m_peerSuspectUntil[endpoint] = now + peerSuspicionTime;
+    Instant &suspectUntil = m_peerSuspectUntil[endpoint];
+    suspectUntil = std::max(suspectUntil, until);
 }
 
 bool EndpointHealthTracker::isSuspectedByPeers(const EndpointId &endpoint, Instant now) const
@@ -154,38 +159,89 @@
     return entry != m_endpoints.end() && entry->second.suspectUntil > now;
 }
 
-std::vector<EndpointId> EndpointHealthTracker::detectSilent(Instant now)
+std::vector<EndpointId> EndpointHealthTracker::silentEndpoints(Instant now) const
 {
     std::vector<EndpointId> silent;
-    for (auto &[id, health] : m_endpoints) {
-        if (health.activeStreams == 0 || health.suspectUntil > now)
-            continue;
-        if (health.lastActivityAt + silenceBaseTimeout + singleStreamTimeout / health.activeStreams
-            > now)
-            continue;
-        health.suspectUntil = now + suspicionTime;
-        silent.push_back(id);
+    for (const auto &[id, health] : m_endpoints) {
+        if (health.silentUntil > now)
+            silent.push_back(id);
     }
-    detectSilentByPeers(silent, now);
-    std::erase_if(m_peerSuspectUntil, [now](const auto &entry) { return entry.second <= now; });
     return silent;
 }
 
-// If this instance has no other streams on the endpoint, a missing first event may mean a long
-// queue or a dead engine. Peers with active streams on the endpoint can tell which.
-void EndpointHealthTracker::detectSilentByPeers(std::vector<EndpointId> &silent, Instant now)
+void EndpointHealthTracker::markSilent(Health &health, Instant now)
+{
+    health.silentUntil = now + suspicionTime;
+    health.suspectUntil = health.silentUntil;
+}
+
+std::vector<EndpointId> EndpointHealthTracker::beginDueChecks(Instant now)
 {
-    const Instant silentSince = now - silenceBaseTimeout - singleStreamTimeout;
+    std::erase_if(m_peerSuspectUntil, [now](const auto &entry) { return entry.second <= now; });
+    std::vector<EndpointId> due;
+    const auto beginCheck = [&](const EndpointId &endpoint, Health &health) {
+        health.isCheckRunning = true;
+        health.checkBegunAt = now;
+        due.push_back(endpoint);
+    };
+    for (auto &[id, health] : m_endpoints) {
+        if (health.activeStreams > 0
+            && health.lastActivityAt + checkBaseDelay + singleStreamDelay / health.activeStreams
+                    <= now
+            && mayCheck(health, now))
+            beginCheck(id, health);
+    }
     for (const auto &[number, attempt] : m_attempts) {
-        if (!attempt.isStream || attempt.hasEvents || attempt.startedAt > silentSince)
+        if (!attempt.isStream || attempt.hasEvents)
             continue;
         Health &health = m_endpoints[attempt.endpoint];
-        if (health.peerSuspicionUsedUntil > now || health.lastActivityAt > silentSince
-            || !isSuspectedByPeers(attempt.endpoint, now))
-            continue;
-        health.peerSuspicionUsedUntil = now + suspicionTime;
-        silent.push_back(attempt.endpoint);
+        const Instant waitingSince = std::max(attempt.startedAt, health.lastActivityAt);
+        if (waitingSince + firstEventCheckDelay <= now && mayCheck(health, now))
+            beginCheck(attempt.endpoint, health);
+    }
+    return due;
+}
+
+bool EndpointHealthTracker::mayCheck(const Health &health, Instant now)
+{
+    return !health.isCheckRunning && health.checkBegunAt + checkInterval <= now;
+}
+
+bool EndpointHealthTracker::recordCheckEnd(const EndpointId &endpoint, bool isResponsive,
+                                           Instant now)
+{
+    const auto entry = m_endpoints.find(endpoint);
+    if (entry == m_endpoints.end())
+        return false;
+    Health &health = entry->second;
+    health.isCheckRunning = false;
+    if (isResponsive || health.lastActivityAt > health.checkBegunAt)
+        return false;
+    markSilent(health, now);
+    return true;
+}
+
+std::vector<EndpointId> EndpointHealthTracker::detectStalled(Instant now)
+{
+    std::vector<EndpointId> stalled;
+    const auto recordIfStalled = [&](const EndpointId &endpoint, Health &health) {
+        if (health.suspectUntil > now || health.lastActivityAt + stallTimeout > now)
+            return;
+        markSilent(health, now);
+        stalled.push_back(endpoint);
+    };
+    for (auto &[id, health] : m_endpoints) {
+        if (health.activeStreams > 0)
+            recordIfStalled(id, health);
+    }
+    // If this instance has no other streams on the endpoint, a missing first event may also mean a
+    // long queue. Peers with active streams on the endpoint can tell which.
+    for (const auto &[number, attempt] : m_attempts) {
+        if (attempt.isStream && !attempt.hasEvents && attempt.startedAt + stallTimeout <= now
+            && isSuspectedByPeers(attempt.endpoint, now))
+            recordIfStalled(attempt.endpoint, m_endpoints[attempt.endpoint]);
     }
+    return stalled;
 }
 
 void EndpointHealthTracker::decay(Health &health, Instant now)
--- a/servers/endpoints/endpoint_health_tracker.h
+++ b/servers/endpoints/endpoint_health_tracker.h
@@ -19,8 +19,8 @@
     Inconclusive, ///< This instance cancelled or moved the attempt.
 };
 
-/// Estimates the health of endpoints from the attempts that this instance runs on them and from the
-/// suspicions that other entry instances report.
+/// Estimates the health of endpoints from the attempts that this instance runs on them, from status
+/// checks and from the suspicions that other entry instances report.
 class EndpointHealthTracker
 {
 public:
@@ -29,8 +29,18 @@
     /// Records that the attempt's stream had an event.
     void recordStreamEvent(AttemptNumber attempt, Instant at);
     void recordAttemptEnd(AttemptNumber attempt, EndpointVerdict verdict, Instant now);
-    /// Records that a peer reports the endpoint as suspect.
-    void recordPeerSuspicion(EndpointHash endpoint, Instant now);
+    /// Records that a peer reports the endpoint as suspect, which counts until `until`.
+    void recordPeerSuspicion(EndpointHash endpoint, Instant until);
+    /// Returns the endpoints whose streams of this instance have paused for so long that the
+    /// endpoint may have failed, and records that a status check of each one begins.
+    std::vector<EndpointId> beginDueChecks(Instant now);
+    /// Records the end of a status check. Returns whether the endpoint has failed: it answered
+    /// neither the check nor, since the check began, a request. It then is suspect.
+    bool recordCheckEnd(const EndpointId &endpoint, bool isResponsive, Instant now);
+    /// Returns the endpoints that have newly stalled: they answer status checks, but none of their
+    /// streams of this instance has had an event for long. If no stream has had any, a peer must
+    /// suspect the endpoint. They then are suspect.
+    std::vector<EndpointId> detectStalled(Instant now);
     /// Records that the endpoint has asked this instance to send no requests until `until`.
     void closeUntil(const EndpointId &endpoint, Instant until);
     void remove(const EndpointId &endpoint);
@@ -50,10 +60,8 @@
     bool isSuspect(const EndpointId &endpoint, Instant now) const;
     /// Whether this instance itself suspects the endpoint.
     bool isSuspectLocally(const EndpointId &endpoint, Instant now) const;
-    /// Returns the endpoints that have newly fallen silent while they run streams of this instance.
-    /// If the streams have had events, the endpoint becomes suspect. If a stream still waits for
-    /// its first event, the endpoint is only returned if a peer suspects it.
-    std::vector<EndpointId> detectSilent(Instant now);
+    /// Returns the endpoints that have recently failed a status check or stalled.
+    std::vector<EndpointId> silentEndpoints(Instant now) const;
 
 private:
     struct Attempt
@@ -77,12 +85,13 @@
         Instant decayedAt;
         double typicalAnswerMs = 0;
         Instant suspectUntil = Instant::min();
-        /// Until this instant, suspicions of peers don't make detectSilent() return the endpoint
-        /// again.
-        Instant peerSuspicionUsedUntil = Instant::min();
+        Instant silentUntil = Instant::min();  ///< Suspect because it failed a check or stalled.
+        Instant checkBegunAt = Instant::min(); ///< Begin of the last status check.
+        bool isCheckRunning = false;
     };
 
-    void detectSilentByPeers(std::vector<EndpointId> &silent, Instant now);
+    static bool mayCheck(const Health &health, Instant now);
+    static void markSilent(Health &health, Instant now);
     bool isSuspectedByPeers(const EndpointId &endpoint, Instant now) const;
     static void decay(Health &health, Instant now);
 
--- a/servers/ports/traffic_port.h
+++ b/servers/ports/traffic_port.h
@@ -2,6 +2,7 @@
 
 #include "core/identifiers.h"
 #include "servers/serving/attempt_start.h"
+#include "servers/serving/endpoint_check.h"
 #include "servers/serving/refusal.h"
 #include "servers/serving/run_move.h"
 #include "servers/site/connection_limits.h"
@@ -23,6 +24,9 @@
     /// ends as interrupted.
     virtual void moveRun(const RunMove &move) = 0;
 
+    /// Sends a status check to an endpoint. It ends with one EndpointCheckEnd.
+    virtual void checkEndpoint(const EndpointCheck &check) = 0;
+
     virtual void refuse(const Refusal &refusal) = 0;
     /// Sends the whole answer of an attempt that ended as Answered to the caller.
     virtual void deliverAnswer(RequestNumber request, AttemptNumber attempt) = 0;
--- a/servers/serving/request_record.h
+++ b/servers/serving/request_record.h
@@ -46,7 +46,9 @@
     const Account *account = nullptr; ///< Null if the route is public.
     const Service *service = nullptr;
 
-    Instant deadline;                 ///< When the final answer is due.
+    Instant deadline; ///< When the final answer is due.
+    /// When a stream without events is next compared with what other endpoints would take.
+    Instant nextLateCheckAt = Instant::min();
     Instant hedgeAt = Instant::max(); ///< When a hedge may be started beside the first attempt.
     std::vector<RunningAttempt> runningAttempts;
     std::set<EndpointId> avoidedEndpoints; ///< Endpoints that failed or declined the request.
--- a/servers/serving/serving_core.h
+++ b/servers/serving/serving_core.h
@@ -6,6 +6,7 @@
 #include "servers/serving/attempt_end.h"
 #include "servers/serving/attempt_launcher.h"
 #include "servers/serving/deadline_queue.h"
+#include "servers/serving/endpoint_check.h"
 #include "servers/serving/request_arrival.h"
 #include "servers/serving/request_record.h"
 #include "servers/serving/run_move.h"
@@ -16,6 +17,7 @@
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace monsoonsail {
 
@@ -35,9 +37,15 @@
     void handleMoveEnd(const RunMoveEnd &end, Instant now);
     /// Handles all requests whose time in the deadline queue has come.
     void handleDueRequests(Instant now);
-    /// Detects endpoints that have become silent and restarts their streams on other endpoints.
-    /// Called several times a second.
-    void restartStreamsOnSilentEndpoints(Instant now);
+    /// Checks endpoints whose streams have paused, and restarts the streams of stalled endpoints
+    /// on others. Called several times a second.
+    void checkSilentEndpoints(Instant now);
+    /// Restarts streams that wait much longer for their first event than other endpoints would
+    /// take. Called several times a second.
+    void restartLateStreams(Instant now);
+    /// Handles the end of a status check. If the endpoint has failed, its streams are restarted on
+    /// other endpoints.
+    void handleEndpointCheckEnd(const EndpointCheckEnd &end, Instant now);
     /// Moves or restarts the streams of endpoints that are about to end. Called several times a
     /// second.
     void evacuateLeavingEndpoints(Instant now);
@@ -59,6 +67,10 @@
     bool mayRetry(const RequestRecord &record, Instant now) const;
     /// Replaces all running attempts by a new one on another endpoint, if that is allowed.
     void restartOnAnotherEndpoint(RequestRecord &record, Instant now);
+    void restartStreamsOf(const EndpointId &endpoint, Instant now);
+    /// Ends the requests that still run on an endpoint that has ended.
+    void giveUpRunsOf(const EndpointId &endpoint, Instant now);
+    std::vector<RequestNumber> requestsOn(const EndpointId &endpoint) const;
     void requestMove(RequestRecord &record, RunningAttempt &attempt, Instant now);
     /// Continues a run on the endpoint to which its KV cache was moved.
     void continueMovedRun(RequestRecord &record, AttemptNumber attempt, Instant now);
--- a/servers/serving/serving_core_moves.cpp
+++ b/servers/serving/serving_core_moves.cpp
@@ -11,6 +11,14 @@
 
 namespace {
 
+/// Timeout of a status check: a round trip between availability zones, and one lost packet.
+constexpr Duration statusCheckTimeout = std::chrono::milliseconds(400);
+/// A stream without an event for this long may go to another engine. Loads of engines are known
+/// with a delay of up to a second, so a few requests meet long queues.
+constexpr Duration lateFirstEventTime = std::chrono::milliseconds(1000);
+constexpr Duration lateCheckInterval = std::chrono::milliseconds(500);
+/// How many times shorter the wait on the other engine must be expected to be than the wait so far.
+constexpr int minLateRestartGain = 2;
 /// Timeout of a move request. Copies on the same link of an engine wait for each other.
 constexpr Duration moveTimeout = std::chrono::milliseconds(700);
 /// Time for the old stream to end after a move. It ends at once unless its connection is stalled.
@@ -18,26 +26,104 @@
 
 } // namespace
 
-void ServingCore::restartStreamsOnSilentEndpoints(Instant now)
+void ServingCore::checkSilentEndpoints(Instant now)
 {
-    const std::vector<EndpointId> silent = m_context.endpointHealth.detectSilent(now);
-    if (silent.empty())
-        return;
-    for (const EndpointId &endpoint : silent) {
+    for (const EndpointId &id : m_context.endpointHealth.beginDueChecks(now)) {
+        const Endpoint *endpoint = m_context.endpoints.find(id);
+        if (endpoint == nullptr) {
+            handleEndpointCheckEnd({.endpoint = id}, now);
+            continue;
+        }
+        m_context.traffic.checkEndpoint({.endpoint = id,
+                                         .address = endpoint->listing.address,
+                                         .deadline = now + statusCheckTimeout});
+    }
+    for (const EndpointId &endpoint : m_context.endpointHealth.detectStalled(now)) {
         m_context.log.write(LogLevel::Warning, "endpoint-silent", {},
-                            {{"endpoint", endpoint.view()}});
+                            {{"endpoint", endpoint.view()}, {"reason", "no events"}});
+        restartStreamsOf(endpoint, now);
     }
-    std::vector<RequestNumber> affected;
+}
+
+void ServingCore::restartLateStreams(Instant now)
+{
+    std::vector<RequestNumber> late;
     for (const auto &[number, record] : m_requests) {
-        const bool runsThere =
-                std::ranges::any_of(record.runningAttempts, [&](const auto &attempt) {
-                    return std::ranges::find(silent, attempt.endpoint) != silent.end();
-                });
-        if (runsThere && record.isStream() && record.isIdempotent())
-            affected.push_back(number);
+        if (record.nextLateCheckAt > now || !record.isStream() || !record.isIdempotent()
+            || record.repeats > 0 || record.runningAttempts.size() != 1 || !mayRetry(record, now))
+            continue;
+        const RunningAttempt &attempt = record.runningAttempts.front();
+        if (!attempt.hasEvents && attempt.moveState == RunningAttempt::MoveState::None
+            && attempt.startedAt + lateFirstEventTime <= now)
+            late.push_back(number);
+    }
+    for (const RequestNumber number : late) {
+        RequestRecord &record = m_requests.at(number);
+        record.nextLateCheckAt = now + lateCheckInterval;
+        const Duration waited = now - record.runningAttempts.front().startedAt;
+        const std::optional<Placement> placement = m_launcher.place(record, now);
+        if (placement && (placement->expectedFirstByteAt - now) * minLateRestartGain <= waited)
+            restartOnAnotherEndpoint(record, now);
+    }
+}
+
+void ServingCore::handleEndpointCheckEnd(const EndpointCheckEnd &end, Instant now)
+{
+    if (!m_context.endpointHealth.recordCheckEnd(end.endpoint, end.isResponsive, now))
+        return;
+    m_context.log.write(
+            LogLevel::Warning, "endpoint-silent", {},
+            {{"endpoint", end.endpoint.view()}, {"reason", "no answer to a status check"}});
+    m_context.traffic.closeConnections(end.endpoint);
+    for (const RequestNumber number : requestsOn(end.endpoint))
+        ++m_requests.at(number).runsOnEndedEndpoints;
+    restartStreamsOf(end.endpoint, now);
+    // A machine that is only silent may still finish its work, so the runs that can't be restarted
+    // are kept until the platform has removed the endpoint as well.
+    const Endpoint *endpoint = m_context.endpoints.find(end.endpoint);
+    if (endpoint == nullptr || endpoint->state == EndpointState::Unlisted)
+        giveUpRunsOf(end.endpoint, now);
+}
+
+std::vector<RequestNumber> ServingCore::requestsOn(const EndpointId &endpoint) const
+{
+    std::vector<RequestNumber> requests;
+    for (const auto &[number, record] : m_requests) {
+        if (std::ranges::find(record.runningAttempts, endpoint, &RunningAttempt::endpoint)
+            != record.runningAttempts.end())
+            requests.push_back(number);
+    }
+    return requests;
+}
+
+void ServingCore::restartStreamsOf(const EndpointId &endpoint, Instant now)
+{
+    for (const RequestNumber number : requestsOn(endpoint)) {
+        RequestRecord &record = m_requests.at(number);
+        if (record.isStream() && record.isIdempotent())
+            restartOnAnotherEndpoint(record, now);
+    }
+}
+
+void ServingCore::giveUpRunsOf(const EndpointId &endpoint, Instant now)
+{
+    for (const RequestNumber number : requestsOn(endpoint)) {
+        RequestRecord &record = m_requests.at(number);
+        const auto running =
+                std::ranges::find(record.runningAttempts, endpoint, &RunningAttempt::endpoint);
+        const RunningAttempt attempt = *running;
+        record.runningAttempts.erase(running);
+        record.mayHaveRun = true;
+        record.avoidedEndpoints.insert(endpoint);
+        m_launcher.recordEnd(record, attempt, EndpointVerdict::Failed, now);
+        m_context.traffic.cancelAttempt(number, attempt.number);
+        handleFailure(record, attempt,
+                      {.request = number,
+                       .attempt = attempt.number,
+                       .result = AttemptResult::Interrupted,
+                       .reason = "the endpoint has ended"},
+                      now);
     }
-    for (const RequestNumber number : affected)
-        restartOnAnotherEndpoint(m_requests.at(number), now);
 }
 
 void ServingCore::restartOnAnotherEndpoint(RequestRecord &record, Instant now)
--- a/tests/drivers/plain_codec.h
+++ b/tests/drivers/plain_codec.h
@@ -46,6 +46,10 @@
         end.result = status == 200 ? RunMoveResult::Moved : RunMoveResult::Failed;
         end.handle = body;
     }
+    void writeStatusCheck(const EndpointCheck & /*check*/, std::string &output) const override
+    {
+        output.append("GET /status HTTP/1.1\r\n\r\n");
+    }
     void writeErrorResponseFields(const RequestHead & /*head*/,
                                   std::string & /*output*/) const override
     { }
--- a/tests/drivers/traffic_relay_fixture.h
+++ b/tests/drivers/traffic_relay_fixture.h
@@ -35,6 +35,7 @@
     }
     void onAttemptEnded(const AttemptEnd &end) override { push(m_ends, end); }
     void onRunMoveEnded(const RunMoveEnd &end) override { push(m_moveEnds, end); }
+    void onEndpointChecked(const EndpointCheckEnd &end) override { push(m_checkEnds, end); }
     void onEndpointLeaving(const EndpointId &endpoint) override
     {
         push(m_leavingEndpoints, endpoint);
@@ -44,6 +45,7 @@
     RequestNumber nextCallerDisconnect() { return waitForNext(m_callerDisconnects); }
     AttemptEnd nextAttemptEnd() { return waitForNext(m_ends); }
     RunMoveEnd nextMoveEnd() { return waitForNext(m_moveEnds); }
+    EndpointCheckEnd nextCheckEnd() { return waitForNext(m_checkEnds); }
     StreamProgress nextProgress() { return waitForNext(m_progress); }
     EndpointId nextLeavingEndpoint() { return waitForNext(m_leavingEndpoints); }
 
@@ -75,6 +77,7 @@
     std::deque<StreamProgress> m_progress;
     std::deque<AttemptEnd> m_ends;
     std::deque<RunMoveEnd> m_moveEnds;
+    std::deque<EndpointCheckEnd> m_checkEnds;
     std::deque<EndpointId> m_leavingEndpoints;
 };
 
--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(responseTraitsAreParsed);
     CPPUNIT_TEST(leavingAndRetryAfterAreParsed);
     CPPUNIT_TEST(moveResponsesAreParsed);
+    CPPUNIT_TEST(statusCheckNeedsNoSlot);
     CPPUNIT_TEST_SUITE_END();
 
     HttpCodec m_codec;
@@ -204,6 +205,15 @@
                        == RunMoveResult::Stopped);
         CPPUNIT_ASSERT(parseMoveResponse(503, "no JSON").result == RunMoveResult::Failed);
     }
+
+    // Requests to the health path wait until the endpoint has a free slot.
+    void statusCheckNeedsNoSlot()
+    {
+        std::string request;
+        m_codec.writeStatusCheck({.address = "10.0.0.1:80"}, request);
+        CPPUNIT_ASSERT_EQUAL(std::string("GET /report HTTP/1.1\r\nHost: 10.0.0.1:80\r\n\r\n"),
+                             request);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpCodecTest);
--- a/tests/servers/evacuation_test.cpp
+++ b/tests/servers/evacuation_test.cpp
@@ -24,6 +24,15 @@
     CPPUNIT_TEST(otherStreamWithoutEventsIsNotRestarted);
     CPPUNIT_TEST(streamLeavesASilentEngine);
     CPPUNIT_TEST(shortPauseOfASingleStreamIsTolerated);
+    CPPUNIT_TEST(slowStreamStaysOnAResponsiveEngine);
+    CPPUNIT_TEST(slowEngineStaysInUse);
+    CPPUNIT_TEST(waitingStreamLeavesASilentEngine);
+    CPPUNIT_TEST(lateStreamLeavesABusyEngine);
+    CPPUNIT_TEST(failedEngineDoesNotUseUpTheAttempts);
+    CPPUNIT_TEST(streamLeavesAStalledEngine);
+    CPPUNIT_TEST(runThatCannotRestartOutlastsASilentEngine);
+    CPPUNIT_TEST(runThatCannotRestartEndsWithItsEngine);
+    CPPUNIT_TEST(silentEngineIsReportedToPeers);
     CPPUNIT_TEST_SUITE_END();
 
     ServingFixture m_fixture;
@@ -53,6 +62,12 @@
                                seconds(2));
     }
 
+    /// The engine falls silent: no events, no answers to status checks.
+    void stopEngine(RequestNumber request)
+    {
+        m_fixture.unresponsive.insert(m_fixture.latestAttempt(request).endpoint);
+    }
+
     void answerMove(RunMoveResult result)
     {
         const RunMove &move = m_fixture.traffic.moves.back();
@@ -163,6 +178,7 @@
     {
         const RequestNumber request = m_fixture.arrive("/review/1");
         m_fixture.progress(request, 3, 3);
+        stopEngine(request);
         m_fixture.advance(milliseconds(900));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.traffic.starts.size());
         CPPUNIT_ASSERT_EQUAL(EventId{3}, *m_fixture.latestAttempt(request).resumeAfter);
@@ -177,6 +193,112 @@
         m_fixture.advance(milliseconds(600));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.traffic.starts.size());
     }
+
+    // An engine that reads long prompts pauses its streams. Moving them away would make other
+    // engines read their prompts again.
+    void slowStreamStaysOnAResponsiveEngine()
+    {
+        const RequestNumber request = m_fixture.arrive("/review/1");
+        for (EventId event = 1; event <= 3; ++event) {
+            m_fixture.progress(request, 1, event);
+            m_fixture.advance(milliseconds(1200));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.traffic.starts.size());
+    }
+
+    void slowEngineStaysInUse()
+    {
+        const RequestNumber request = m_fixture.arrive("/review/1");
+        m_fixture.progress(request, 1, 1);
+        m_fixture.advance(milliseconds(1200));
+        CPPUNIT_ASSERT(!m_fixture.context.endpointHealth.isSuspect(
+                m_fixture.latestAttempt(request).endpoint, m_fixture.now));
+    }
+
+    // An engine crashes without closing its connections before the first event.
+    void waitingStreamLeavesASilentEngine()
+    {
+        const RequestNumber request = m_fixture.arrive("/review/1");
+        const EndpointId engine = m_fixture.latestAttempt(request).endpoint;
+        stopEngine(request);
+        m_fixture.advance(milliseconds(1100));
+        CPPUNIT_ASSERT(m_fixture.latestAttempt(request).endpoint != engine);
+    }
+
+    // Another instance has sent the engine a long prompt, of which this one has not heard yet.
+    void lateStreamLeavesABusyEngine()
+    {
+        const RequestNumber request = m_fixture.arrive("/review/1");
+        const EndpointId engine = m_fixture.latestAttempt(request).endpoint;
+        m_fixture.advance(milliseconds(900));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.traffic.starts.size());
+        m_fixture.advance(milliseconds(200));
+        CPPUNIT_ASSERT(m_fixture.latestAttempt(request).endpoint != engine);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.traffic.cancelled.size());
+        // It waits for the second one, since changing again would only add load.
+        m_fixture.advance(milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.traffic.starts.size());
+    }
+
+    // The route allows two runs, and two engines crash one after the other.
+    void failedEngineDoesNotUseUpTheAttempts()
+    {
+        const RequestNumber request = m_fixture.arrive("/review/1");
+        stopEngine(request);
+        m_fixture.advance(milliseconds(1100));
+        stopEngine(request);
+        m_fixture.advance(milliseconds(1100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_fixture.traffic.starts.size());
+    }
+
+    // The machine of the engine answers, but the engine makes no progress.
+    void streamLeavesAStalledEngine()
+    {
+        const RequestNumber request = m_fixture.arrive("/review/1");
+        m_fixture.progress(request, 3, 3);
+        m_fixture.advance(milliseconds(2600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.traffic.starts.size());
+        CPPUNIT_ASSERT_EQUAL(EventId{3}, *m_fixture.latestAttempt(request).resumeAfter);
+    }
+
+    // The machine may only be silent for a while, and the run may not be repeated.
+    void runThatCannotRestartOutlastsASilentEngine()
+    {
+        const RequestNumber request = m_fixture.arrive("/plan/1");
+        m_fixture.progress(request, 3, 3);
+        stopEngine(request);
+        m_fixture.advance(milliseconds(3500));
+        CPPUNIT_ASSERT(!m_fixture.core.isIdle());
+        m_fixture.endAttempt(request, AttemptResult::Streamed);
+        CPPUNIT_ASSERT(m_fixture.traffic.refusals.empty());
+    }
+
+    // The engine crashes without closing its connections, and its entry lapses. The caller can
+    // repeat the request while it still has time.
+    void runThatCannotRestartEndsWithItsEngine()
+    {
+        const RequestNumber request = m_fixture.arrive("/plan/1");
+        const std::string instance = m_fixture.latestAttempt(request).instance;
+        stopEngine(request);
+        m_fixture.advance(milliseconds(1000));
+        CPPUNIT_ASSERT(!m_fixture.core.isIdle());
+        m_fixture.context.endpoints.markUnlisted(instance, 1000, Instant::min(), m_fixture.now);
+        m_fixture.advance(milliseconds(1500));
+        CPPUNIT_ASSERT(m_fixture.core.isIdle());
+        CPPUNIT_ASSERT(m_fixture.lastRefusal() == ErrorKind::EndpointFailed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.traffic.starts.size());
+    }
+
+    // Its streams have been restarted elsewhere by then, so it is not among the loads.
+    void silentEngineIsReportedToPeers()
+    {
+        const RequestNumber request = m_fixture.arrive("/review/1");
+        const EndpointId engine = m_fixture.latestAttempt(request).endpoint;
+        stopEngine(request);
+        m_fixture.advance(milliseconds(1100));
+        CPPUNIT_ASSERT(std::vector{engine}
+                       == m_fixture.context.endpointHealth.silentEndpoints(m_fixture.now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EvacuationTest);
--- a/tests/servers/recording_traffic.h
+++ b/tests/servers/recording_traffic.h
@@ -19,6 +19,7 @@
         cancelled.emplace_back(request, attempt);
     }
     void moveRun(const RunMove &move) override { moves.push_back(move); }
+    void checkEndpoint(const EndpointCheck &check) override { checks.push_back(check); }
     void refuse(const Refusal &refusal) override { refusals.push_back(refusal); }
     void deliverAnswer(RequestNumber request, AttemptNumber attempt) override
     {
@@ -36,6 +37,7 @@
     std::vector<AttemptStart> starts;
     std::vector<std::pair<RequestNumber, AttemptNumber>> cancelled;
     std::vector<RunMove> moves;
+    std::vector<EndpointCheck> checks;
     std::vector<Refusal> refusals;
     std::vector<std::pair<RequestNumber, AttemptNumber>> delivered;
     std::vector<RequestNumber> abortedAnswers;
--- a/tests/servers/serving_fixture.h
+++ b/tests/servers/serving_fixture.h
@@ -6,6 +6,7 @@
 #include "tests/servers/recording_traffic.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,7 @@
     void progress(RequestNumber request, std::uint32_t events, EventId lastEvent);
     /// Returns the latest attempt of the request.
     const AttemptStart &latestAttempt(RequestNumber request) const;
-    /// Advances the time in small steps and runs the timers of the core.
+    /// Advances the time in small steps, runs the timers of the core and answers status checks.
     void advance(Duration duration);
     void listEndpoint(const std::string &instance, const std::string &service,
                       bool isLeaving = false, std::optional<Duration> leavesIn = std::nullopt);
@@ -42,10 +43,14 @@
     RecordingMetrics metrics;
     ServingContext context;
     ServingCore core;
+    std::set<EndpointId> unresponsive; ///< Endpoints that don't answer status checks.
 
 private:
+    void answerChecks();
+
     RequestNumber m_lastRequest = 0;
     std::uint64_t m_sequence = 0;
+    std::vector<EndpointCheck> m_openChecks;
 };
 
 } // namespace monsoonsail
