--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -12,6 +12,9 @@
 /// the end of an outage is noticed soon.
 constexpr Duration initialRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(500);
+/// Minimum time between the starts of two reads by refresh(). Short compared with the time until a
+/// configuration has to be in force (seconds).
+constexpr Duration refreshInterval = std::chrono::milliseconds(500);
 } // namespace
 
 TopicFollower::TopicFollower(std::string topic, Timing timing, RecordLog &log, TopicSink &sink,
@@ -35,15 +38,19 @@
     // After a failure a retry is due soon, and refused calls cost money.
     if (m_isReading || m_failures > 0)
         m_needsRefresh = true;
-    else
-        scheduleRead(m_scheduler.now(), true);
+    else if (!m_isRefreshScheduled) {
+        scheduleRead(std::max(m_scheduler.now(), m_readStartedAt + refreshInterval), true);
+        m_isRefreshScheduled = true;
+    }
 }
 
 void TopicFollower::scheduleRead(Instant at, bool newest)
 {
+    m_isRefreshScheduled = false;
     m_scheduler.at(at, [this, newest, number = ++m_scheduledRead] {
         if (number != m_scheduledRead || m_isReading)
             return;
+        m_isRefreshScheduled = false;
         if (newest)
             readNewest();
         else
@@ -143,7 +150,7 @@
 {
     const Instant now = m_scheduler.now();
     if (m_needsRefresh)
-        scheduleRead(now, true);
+        scheduleRead(std::max(now, m_readStartedAt + refreshInterval), true);
     else if (m_active)
         scheduleRead(std::max(now, m_readStartedAt + m_timing.minInterval), false);
     else
--- a/servers/store/topic_follower.h
+++ b/servers/store/topic_follower.h
@@ -58,7 +58,8 @@
     void setActive(bool active);
     /// Sets the time between the starts of two reads while passive.
     void setPassiveInterval(Duration interval) { m_timing.passiveInterval = interval; }
-    /// Reads the newest records as soon as the calls in progress and retry delays permit.
+    /// Reads the newest records as soon as the calls in progress and retry delays permit. Calls in
+    /// quick succession share a read.
     void refresh();
     bool isActive() const { return m_active; }
 
@@ -85,8 +86,9 @@
     Instant m_readStartedAt;               ///< Start of the current or last read.
     unsigned m_failures = 0;               ///< Number of consecutive failed reads.
     bool m_active = true;
-    bool m_isReading = false;    ///< Whether a read is in progress.
-    bool m_needsRefresh = false; ///< Whether refresh() waits for a read or retry to end.
+    bool m_isReading = false;          ///< Whether a read is in progress.
+    bool m_needsRefresh = false;       ///< Whether refresh() waits for a read or retry to end.
+    bool m_isRefreshScheduled = false; ///< Whether the scheduled read is that of a refresh().
     /// Number of the scheduled read; those scheduled earlier are ignored.
     unsigned m_scheduledRead = 0;
 };
--- a/tests/servers/topic_follower_test.cpp
+++ b/tests/servers/topic_follower_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(passiveFollowerReadsRarely);
     CPPUNIT_TEST(passiveFollowerRefreshesWhenAsked);
     CPPUNIT_TEST(refreshDoesNotShortenRetryDelays);
+    CPPUNIT_TEST(refreshesInQuickSuccessionShareARead);
     CPPUNIT_TEST(followerThatBecomesActiveMissesNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), m_sink.values["b"]);
     }
 
+    // Each digest with a newer configuration asks for a read, and configurations may come in quick
+    // succession. Every instance pays for its reads.
+    void refreshesInQuickSuccessionShareARead()
+    {
+        m_follower->setActive(false);
+        advance(seconds(1));
+        const int before = m_store.newestReads;
+        for (int change = 0; change < 40; ++change) {
+            appendRecord("b", std::to_string(change));
+            m_follower->refresh();
+            advance(milliseconds(50));
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(m_store.newestReads - before),
+                               m_store.newestReads - before <= 5);
+        advance(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::string("39"), m_sink.values["b"]);
+    }
+
     void followerThatBecomesActiveMissesNothing()
     {
         m_follower->setActive(false);
