Count streams that fail before their first event as usage

Cause: the usage of a stream was counted at its first event only, but an endpoint that fails a stream with a 500, or whose answer is lost, has begun to run it. Change: each attempt that may have run counts, once for each request, when it was sent. Ruled out: the loss of power at 52 s (its window was not missed); counts of instances that were stopped.

--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -181,9 +181,8 @@
         --record.runs;
     } else {
         record.mayHaveRun = true;
-        // Usage of a stream is recorded at its first event.
-        if (!record.isStream() || end.result == AttemptResult::Streamed)
-            recordUsage(record, end.sentAt);
+        // The usage of a stream was recorded at its first event, unless its answer was lost before.
+        recordUsage(record, end.sentAt);
     }
     if (isSuccess) {
         handleSuccess(record, end, now);
--- a/tests/servers/serving_core_test.cpp
+++ b/tests/servers/serving_core_test.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(repeatsStayWithinTheBudget);
     CPPUNIT_TEST(stoppingInstanceRefusesNewRequests);
     CPPUNIT_TEST(answersAndRefusalsAreCounted);
+    CPPUNIT_TEST(failedStreamsCountAsUsage);
+    CPPUNIT_TEST(declinedStreamsDoNotCountAsUsage);
     CPPUNIT_TEST(waitingStreamRestartsIfPeersSuspectItsEndpoint);
     CPPUNIT_TEST(waitingStreamStaysOnAnEndpointThatNoPeerSuspects);
     CPPUNIT_TEST(leavingEndpointGetsNoNewRequests);
@@ -252,6 +254,30 @@
         CPPUNIT_ASSERT(m_fixture.latestAttempt(request).endpoint == first);
     }
 
+    unsigned usageOfStreamThatEnds(AttemptResult result, int status)
+    {
+        const RequestNumber request = m_fixture.arrive("/plan/1");
+        m_fixture.endAttempt(request, result, status);
+        const UsageMeter &meter = m_fixture.context.usageMeter;
+        const UsageCounts counts = meter.ownCounts(meter.windowAt(m_fixture.now));
+        const auto entry = counts.find(AccountId("club"));
+        return entry == counts.end() ? 0 : entry->second;
+    }
+
+    // Guards against reports that lack the runs of a second in which endpoints fail or lose their
+    // answers: they began to run, although no event arrived.
+    void failedStreamsCountAsUsage()
+    {
+        CPPUNIT_ASSERT_EQUAL(1U, usageOfStreamThatEnds(AttemptResult::Answered, 500));
+        CPPUNIT_ASSERT_EQUAL(2U, usageOfStreamThatEnds(AttemptResult::Interrupted, 0));
+    }
+
+    void declinedStreamsDoNotCountAsUsage()
+    {
+        CPPUNIT_ASSERT_EQUAL(0U, usageOfStreamThatEnds(AttemptResult::Declined, 503));
+        CPPUNIT_ASSERT_EQUAL(0U, usageOfStreamThatEnds(AttemptResult::NotSent, 0));
+    }
+
     void answersAndRefusalsAreCounted()
     {
         const RequestNumber answered = m_fixture.arrive("/look/a");
