--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -259,9 +259,9 @@
     m_dutyElection.advance(m_mesh);
     m_usageReporter.advance(m_dutyElection.fencingNumber(), m_mesh);
     manageFleet();
-    // A reader writes the journal, since it is known within a second of a start, whereas the
+    // Readers write the journal, since they are known within a second of a start, whereas the
     // election of the holder of the duties takes seconds.
-    m_allowanceJournal.advance(m_readerRole.isFirstReader(), m_mesh.clockCorrection());
+    m_allowanceJournal.advance(m_endpointFollower.isActive(), m_mesh.clockCorrection());
     m_decisionLog.reportDropped();
     m_logWriter.flush();
     checkStop();
--- a/servers/store/reader_role.cpp
+++ b/servers/store/reader_role.cpp
@@ -39,7 +39,6 @@
         if (isFresh && name < m_instance)
             ++precedingReaders;
     }
-    m_isFirst = precedingReaders == 0;
     if (precedingReaders >= requiredReaders) {
         m_isReader = false;
         m_tooFewReadersSince.reset();
--- a/servers/store/reader_role.h
+++ b/servers/store/reader_role.h
@@ -27,15 +27,11 @@
     /// periodically.
     void advance(const Mesh &mesh, Instant now);
     bool isReader() const { return m_isReader; }
-    /// Whether this instance is a reader and no instance with a smaller name is one with recent
-    /// data.
-    bool isFirstReader() const { return m_isReader && m_isFirst; }
 
 private:
     const std::string m_instance;
     Duration m_drainTime;
     bool m_isReader = true; ///< A process that starts does not know any reader yet.
-    bool m_isFirst = true;
     std::optional<Instant> m_tooFewReadersSince; ///< Since when there have been too few readers.
 };
 
