--- a/tests/servers/serving_fixture.cpp
+++ b/tests/servers/serving_fixture.cpp
@@ -34,7 +34,7 @@
 {
     return {route("/review/", RequestKind::Streaming, true, "model", 2),
             route("/plan/", RequestKind::Streaming, false, "model", 1),
-            route("/book/", RequestKind::Unsafe, false, "plain", 1),
+            route("/book/", RequestKind::Unsafe, false, "plain", 2),
             route("/look/", RequestKind::Safe, false, "plain", 2)};
 }
 
