Don't blame an endpoint for a status check that could not be sent

A check whose connection fails locally, for example without a free descriptor, counted as unanswered, so that streams would have left a sound endpoint. Change: such a check reports that nothing is known against the endpoint. localFailureDoesNotBlameTheEndpoint failed before.

--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -163,7 +163,8 @@
     std::error_code error;
     auto connection = m_endpointPool.connect(check.endpoint, check.address, error);
     if (!connection) {
-        m_listener.onEndpointChecked({.endpoint = check.endpoint});
+        // A failure before anything is sent is a local one and shows nothing about the endpoint.
+        m_listener.onEndpointChecked({.endpoint = check.endpoint, .isResponsive = true});
         return;
     }
     std::string request;
--- a/servers/serving/endpoint_check.h
+++ b/servers/serving/endpoint_check.h
@@ -19,7 +19,8 @@
 struct EndpointCheckEnd
 {
     EndpointId endpoint;
-    /// Whether its machine has answered in any way: an error status or a reset also count.
+    /// False if there was no answer in time. An error status or a reset counts as an answer, and a
+    /// check that could not be sent shows nothing.
     bool isResponsive = false;
 };
 
--- a/tests/drivers/endpoint_check_test.cpp
+++ b/tests/drivers/endpoint_check_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(silentEndpointIsUnresponsive);
     CPPUNIT_TEST(singleBytesAreNoAnswer);
     CPPUNIT_TEST(checkUsesItsOwnConnection);
+    CPPUNIT_TEST(localFailureDoesNotBlameTheEndpoint);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr milliseconds m_timeout{300};
@@ -88,6 +89,17 @@
         CPPUNIT_ASSERT(m_listener.nextCheckEnd().isResponsive);
         CPPUNIT_ASSERT(call.isClosedWithin(seconds(1)));
     }
+
+    // A check that can't even start, for example without a free descriptor, shows nothing.
+    void localFailureDoesNotBlameTheEndpoint()
+    {
+        m_thread->runAndWait([this] {
+            m_traffic->checkEndpoint({.endpoint = EndpointId("e"),
+                                      .address = "no address",
+                                      .deadline = m_thread->loop().now() + m_timeout});
+        });
+        CPPUNIT_ASSERT(m_listener.nextCheckEnd().isResponsive);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointCheckTest);
