--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -24,7 +25,13 @@
 
 unsigned freePort()
 {
-    return RawListener().port();
+    // The kernel may name a port again once its listener is closed, and a daemon binds its own only
+    // when it starts.
+    static std::set<unsigned> used;
+    unsigned port = RawListener().port();
+    while (!used.insert(port).second)
+        port = RawListener().port();
+    return port;
 }
 
 std::string loopback(unsigned port)
