--- /dev/null
+++ b/drivers/traffic/traffic_relay_calls.cpp
@@ -0,0 +1,60 @@
+#include "drivers/traffic/traffic_relay.h"
+
+#include <utility>
+
+// The part of the traffic relay that makes calls of this instance, not of a caller, to endpoints.
+
+namespace monsoonsail {
+
+void TrafficRelay::moveRun(const RunMove &move)
+{
+    RunMoveEnd end{.request = move.request, .attempt = move.attempt};
+    const Exchange *exchange = findExchange(move.request);
+    if (exchange == nullptr)
+        return;
+    std::shared_ptr<EndpointConnection> connection =
+            m_endpointPool.takeIdle(move.source, Instant::min());
+    std::error_code error;
+    if (!connection)
+        connection = m_endpointPool.connect(move.source, move.sourceAddress, error);
+    if (!connection) {
+        end.reason = error.message();
+        m_listener.onRunMoveEnded(end);
+        return;
+    }
+    std::string request;
+    m_codec.writeMoveRequest(exchange->callerId, move, request);
+    const auto callback = [this, end](const EndpointCall::Response &response) mutable {
+        end.reason = response.reason;
+        if (response.status != 0)
+            m_codec.parseMoveResponse(response.status, response.body, end);
+        m_listener.onRunMoveEnded(end);
+    };
+    m_endpointCalls.push_back(
+            std::make_unique<EndpointCall>(m_loop, std::move(connection), move.deadline, callback));
+    m_endpointCalls.back()->send(request);
+}
+
+void TrafficRelay::checkEndpoint(const EndpointCheck &check)
+{
+    // The response doesn't name its request, so the connection is not shared with requests of
+    // callers: a late or second response could be taken for the answer to one of them.
+    std::error_code error;
+    auto connection = m_endpointPool.connect(check.endpoint, check.address, error);
+    if (!connection) {
+        // A failure before anything is sent is a local one and shows nothing about the endpoint.
+        m_listener.onEndpointChecked({.endpoint = check.endpoint, .isResponsive = true});
+        return;
+    }
+    std::string request;
+    m_codec.writeStatusCheck(check, request);
+    const auto callback = [this,
+                           endpoint = check.endpoint](const EndpointCall::Response &response) {
+        m_listener.onEndpointChecked({.endpoint = endpoint, .isResponsive = !response.hasTimedOut});
+    };
+    m_endpointCalls.push_back(std::make_unique<EndpointCall>(m_loop, std::move(connection),
+                                                             check.deadline, callback));
+    m_endpointCalls.back()->send(request);
+}
+
+} // namespace monsoonsail
