--- a/tests/drivers/endpoint_check_test.cpp
+++ b/tests/drivers/endpoint_check_test.cpp
@@ -19,14 +19,14 @@
     CPPUNIT_TEST(localFailureDoesNotBlameTheEndpoint);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr milliseconds m_timeout{300};
+    static constexpr milliseconds timeout{300};
 
     void check()
     {
         m_thread->runAndWait([this] {
             m_traffic->checkEndpoint({.endpoint = EndpointId("e"),
                                       .address = m_endpoint.address(),
-                                      .deadline = m_thread->loop().now() + m_timeout});
+                                      .deadline = m_thread->loop().now() + timeout});
         });
     }
 
@@ -62,11 +62,11 @@
     {
         check();
         const RawSocket call = m_endpoint.accept();
-        const auto end = std::chrono::steady_clock::now() + 2 * m_timeout;
+        const auto end = std::chrono::steady_clock::now() + 2 * timeout;
         for (std::size_t sent = 0; std::chrono::steady_clock::now() < end; ++sent) {
             if (!call.send(std::string_view("HTTP/1.1 200 OK\r\nField: value").substr(sent, 1)))
                 break;
-            std::this_thread::sleep_for(m_timeout / 10);
+            std::this_thread::sleep_for(timeout / 10);
         }
         CPPUNIT_ASSERT(!m_listener.nextCheckEnd().isResponsive);
     }
@@ -96,7 +96,7 @@
         m_thread->runAndWait([this] {
             m_traffic->checkEndpoint({.endpoint = EndpointId("e"),
                                       .address = "no address",
-                                      .deadline = m_thread->loop().now() + m_timeout});
+                                      .deadline = m_thread->loop().now() + timeout});
         });
         CPPUNIT_ASSERT(m_listener.nextCheckEnd().isResponsive);
     }
