Log which shared prompt parts a failed attempt had, and whether it had events

Lines attempt-ended of attempts that fail now have run_ms, had_events and shared_parts. The line of a success stays without the parts, so the volume of logs hardly grows.

--- a/servers/placement/prompt_cache_map.cpp
+++ b/servers/placement/prompt_cache_map.cpp
@@ -15,8 +15,8 @@
 {
     std::vector<PrefixHash> prefixes;
     PrefixHash hash = 0;
-    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
-        const std::uint64_t id = parts[index].id;
+    for (const PromptPart &part : sharedParts(parts)) {
+        const std::uint64_t id = part.id;
         hash = stableHash({reinterpret_cast<const char *>(&id), sizeof id}, hash);
         prefixes.push_back(hash);
     }
--- /dev/null
+++ b/servers/serving/prompt_part.cpp
@@ -0,0 +1,21 @@
+#include "servers/serving/prompt_part.h"
+
+#include <sstream>
+
+namespace monsoonsail {
+
+std::span<const PromptPart> sharedParts(std::span<const PromptPart> parts)
+{
+    return parts.empty() ? parts : parts.first(parts.size() - 1);
+}
+
+std::string partNames(std::span<const PromptPart> parts)
+{
+    std::ostringstream names;
+    names << std::hex;
+    for (const PromptPart &part : parts)
+        names << (names.tellp() > 0 ? "," : "") << part.id;
+    return names.str();
+}
+
+} // namespace monsoonsail
--- a/servers/serving/prompt_part.h
+++ b/servers/serving/prompt_part.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
+#include <string>
 
 namespace monsoonsail {
 
@@ -11,4 +13,10 @@
     std::uint32_t tokens = 0;
 };
 
+/// Returns the parts that other requests may have too. The last part is specific to the request.
+std::span<const PromptPart> sharedParts(std::span<const PromptPart> parts);
+
+/// Returns the ids of the parts for the log, in hexadecimal and separated by commas.
+std::string partNames(std::span<const PromptPart> parts);
+
 } // namespace monsoonsail
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -160,6 +160,8 @@
     if (isSuccess)
         verdict = EndpointVerdict::Succeeded;
     m_launcher.recordEnd(record, attempt, verdict, now);
+    const std::string parts =
+            isSuccess ? std::string() : partNames(sharedParts(record.arrival.promptParts));
     m_context.log.write(isSuccess ? LogLevel::Detail : LogLevel::Warning, "attempt-ended",
                         record.arrival.callerId,
                         {{"attempt", toLog(attempt.number)},
@@ -167,7 +169,10 @@
                          {"result", attemptResultName(end.result)},
                          {"status", static_cast<std::int64_t>(end.status)},
                          {"reason", end.reason},
-                         {"reused", end.connectionReused}});
+                         {"reused", end.connectionReused},
+                         {"run_ms", toMs(now - attempt.startedAt)},
+                         {"had_events", attempt.hasEvents},
+                         {"shared_parts", parts}});
     m_context.metrics.recordAttempt(record.service->name.view(), end.result);
     if (end.closedUntil && *end.closedUntil > now) {
         m_context.log.write(
--- a/tests/servers/serving_core_test.cpp
+++ b/tests/servers/serving_core_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(closedEndpointGetsNoRequests);
     CPPUNIT_TEST(closedEndpointGetsNoHedge);
     CPPUNIT_TEST(closedServiceRefusesWithTheEarliestRetryTime);
+    CPPUNIT_TEST(logOfAFailedAttemptNamesItsSharedParts);
     CPPUNIT_TEST_SUITE_END();
 
     ServingFixture m_fixture;
@@ -222,6 +223,16 @@
         CPPUNIT_ASSERT(m_fixture.lastRefusal() == ErrorKind::Stopping);
     }
 
+    void logOfAFailedAttemptNamesItsSharedParts()
+    {
+        const RequestNumber request = m_fixture.arrive(
+                "/plan/1", "key",
+                {{.id = 0xa1, .tokens = 10}, {.id = 0xb2, .tokens = 10}, {.id = 3, .tokens = 5}});
+        m_fixture.endAttempt(request, AttemptResult::Interrupted);
+        CPPUNIT_ASSERT_EQUAL(std::string("a1,b2"),
+                             m_fixture.log.lastTexts["attempt-ended"]["shared_parts"]);
+    }
+
     // An engine stalls while this instance has no other runs on it, so only its peers can tell that
     // this is not a long queue.
     void waitingStreamRestartsIfPeersSuspectItsEndpoint()
--- a/tests/servers/serving_fixture.cpp
+++ b/tests/servers/serving_fixture.cpp
@@ -90,7 +90,8 @@
     context.endpoints.applyListing(listing, now);
 }
 
-RequestNumber ServingFixture::arrive(const std::string &path, const std::string &key)
+RequestNumber ServingFixture::arrive(const std::string &path, const std::string &key,
+                                     std::vector<PromptPart> parts)
 {
     const RequestNumber number = ++m_lastRequest;
     context.configurationAsOf = std::max(context.configurationAsOf, now - timeStep);
@@ -103,6 +104,7 @@
                         .callerDeadline = now + std::chrono::seconds(4),
                         .promptTokens = 1000,
                         .maxOutputTokens = 100,
+                        .promptParts = std::move(parts),
                         .arrivedAt = now},
                        now);
     return number;
--- a/tests/servers/serving_fixture.h
+++ b/tests/servers/serving_fixture.h
@@ -21,7 +21,8 @@
 
     /// Passes a new request to the core and returns its number. Routes: /review/ is a resumable
     /// stream, /plan/ a stream that is not resumable, /book/ unsafe, /look/ safe.
-    RequestNumber arrive(const std::string &path, const std::string &key = "key");
+    RequestNumber arrive(const std::string &path, const std::string &key = "key",
+                         std::vector<PromptPart> parts = {});
     /// Ends the latest attempt of the request.
     void endAttempt(RequestNumber request, AttemptResult result, int status = 200);
     void progress(RequestNumber request, std::uint32_t events, EventId lastEvent);
