--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -13,14 +13,15 @@
 } // namespace
 
 CallResult Caller::call(unsigned port, const std::string &path, const std::string &id,
-                        std::chrono::milliseconds timeout)
+                        std::chrono::milliseconds timeout, const std::string &promptParts)
 {
-    return exchange(port,
-                    "POST " + path
-                            + " HTTP/1.1\r\nHost: club.example\r\nAuthorization: Token key\r\n"
-                            + "X-Attempt-Id: " + id + "\r\nX-Deadline-Ms: "
-                            + std::to_string(timeout.count()) + "\r\nContent-Length: 2\r\n\r\nhi",
-                    timeout + answerTravelTime);
+    std::string request = "POST " + path
+            + " HTTP/1.1\r\nHost: club.example\r\nAuthorization: Token key\r\n" + "X-Attempt-Id: "
+            + id + "\r\nX-Deadline-Ms: " + std::to_string(timeout.count()) + "\r\n";
+    if (!promptParts.empty())
+        request += "X-Prompt-Prefix: " + promptParts + "\r\n";
+    request += "Content-Length: 2\r\n\r\nhi";
+    return exchange(port, request, timeout + answerTravelTime);
 }
 
 CallResult Caller::fetch(unsigned port, const std::string &path)
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -27,9 +27,10 @@
 {
 public:
     /// Sends a request with the API key "key" and waits for its answer. `timeout` is the deadline
-    /// of the request; the wait for the answer is slightly longer.
+    /// of the request; the wait for the answer is slightly longer. `promptParts` are sent as they
+    /// are unless they are empty.
     CallResult call(unsigned port, const std::string &path, const std::string &id,
-                    std::chrono::milliseconds timeout);
+                    std::chrono::milliseconds timeout, const std::string &promptParts = {});
     void disconnect() { m_socket.close(); }
     bool isConnected() const { return m_socket.isOpen(); }
 
--- a/tests/support/fake_endpoint.cpp
+++ b/tests/support/fake_endpoint.cpp
@@ -26,6 +26,13 @@
     return size.data() + text + "\r\n";
 }
 
+std::int64_t wallClockMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
 } // namespace
 
 FakeEndpoint::FakeEndpoint(FakePlatform &platform, RunCounter &runCounter, std::string instance,
@@ -35,9 +42,7 @@
     , m_instance(std::move(instance))
     , m_service(std::move(service))
     , m_workTime(workTime)
-    , m_startTimeMs(std::chrono::duration_cast<std::chrono::milliseconds>(
-                            std::chrono::system_clock::now().time_since_epoch())
-                            .count())
+    , m_startTimeMs(wallClockMs())
     , m_server([this](RawSocket &socket) { serve(socket); })
     , m_proxy(m_server.port())
 {
@@ -71,13 +76,26 @@
     m_platform.put("keyed.servers", m_instance, "");
 }
 
+void FakeEndpoint::restartIfCrashed()
+{
+    if (!m_hasCrashed.exchange(false))
+        return;
+    m_startTimeMs = wallClockMs();
+    m_proxy.setFault(FaultProxy::Fault::None);
+    publishEntry("ready");
+}
+
 void FakeEndpoint::publishEntry(const std::string &state)
 {
-    const nlohmann::json entry{{"Service", m_service}, {"Address", m_proxy.address()},
-                               {"Zone", "zvolen"},     {"Version", "v1"},
-                               {"Slots", 16},          {"State", state},
-                               {"ColdLeftMs", 0},      {"Seq", ++m_sequence},
-                               {"born", m_startTimeMs}};
+    const nlohmann::json entry{{"Service", m_service},
+                               {"Address", m_proxy.address()},
+                               {"Zone", "zvolen"},
+                               {"Version", "v1"},
+                               {"Slots", 16},
+                               {"State", state},
+                               {"ColdLeftMs", 0},
+                               {"Seq", ++m_sequence},
+                               {"born", m_startTimeMs.load()}};
     m_platform.put("keyed.servers", m_instance, entry.dump());
 }
 
@@ -118,6 +136,14 @@
     std::uint64_t event = resumeAfter.empty() ? 0 : std::stoull(resumeAfter);
     socket.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id
                 + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (!m_crashingPart.empty()
+        && field(request, "X-Prompt-Prefix").find(m_crashingPart) != std::string::npos) {
+        std::this_thread::sleep_for(m_workTime);
+        ++m_crashCount;
+        m_proxy.setFault(FaultProxy::Fault::Reset);
+        m_hasCrashed = true;
+        return;
+    }
     while (++event <= eventsPerStream && !m_server.isStopping()) {
         std::this_thread::sleep_for(m_workTime);
         if (!socket.send(chunk("id: " + std::to_string(event) + "\ndata: " + id + "\n\n")))
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -33,6 +33,13 @@
     void announceLeavingInAnswers();
     /// Closes all connections and removes its entry on the platform, as after a crash.
     void crash();
+    /// From now on, a stream whose prompt has the part `id` resets all connections as soon as its
+    /// answer has begun, and so do new connections until restartIfCrashed().
+    void setCrashingPart(const std::string &id) { m_crashingPart = id + ":"; }
+    /// Returns the number of streams under which it has crashed, or that arrived during a crash.
+    unsigned crashCount() const { return m_crashCount; }
+    /// Starts as another incarnation if it has crashed since the last start.
+    void restartIfCrashed();
     /// Returns how long after the leaving was announced the last request began to run, or 0 if none
     /// did.
     std::chrono::milliseconds timeOfLastRunAfterLeaving() const
@@ -50,10 +57,13 @@
     const std::string m_instance;
     const std::string m_service;
     const std::chrono::milliseconds m_workTime;
-    std::int64_t m_startTimeMs;
+    std::atomic<std::int64_t> m_startTimeMs;
     std::uint64_t m_sequence = 0;
     std::atomic<bool> m_isLeaving = false;
     std::atomic<bool> m_announcesLeavingInAnswers = false;
+    std::string m_crashingPart; ///< Text that marks the part in a list of parts; may be empty.
+    std::atomic<unsigned> m_crashCount = 0;
+    std::atomic<bool> m_hasCrashed = false;
     std::chrono::steady_clock::time_point m_leavingSince;
     std::atomic<std::chrono::milliseconds> m_timeOfLastRunAfterLeaving{};
     ThreadedServer m_server;
