Stop sending prompt parts under which endpoints crash

Cause: each failure was taken for one of the endpoint. What a request had done to an endpoint stayed in its own record, so the next request with the same part was placed on the next engine, by any of the instances.

Change: an attempt whose endpoint closes or resets its connection before it has written events for 200 ms is evidence against the shared parts of its prompt (PromptQuarantine). Digests carry the evidence, so that ends seen by different instances add up and a restarted instance learns it from any peer. Three separate ends that no other part explains better quarantine a part that no endpoint is known to have answered on, five one that has been answered on. Ends within 50 ms count once (a zone, a rack or a link), announced ends not at all, and an endpoint that answers later has not ended. An answer that goes on being written clears its parts everywhere. Quarantined requests are refused at once as not run (503, kind prompt-quarantined, Retry-After: the time of the next trial), are not repeated, hedged or moved before their first event, and cost no allowance. A trial is made by one instance, 5 minutes after the last end and rarer after each further one.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -27,6 +27,8 @@
                     "The request would miss its deadline."},
         ErrorAnswer{ErrorKind::NoEndpoint, "no-endpoint", 503, Outcome::NotRun, true,
                     "No endpoint can take the request."},
+        ErrorAnswer{ErrorKind::PromptQuarantined, "prompt-quarantined", 503, Outcome::NotRun, true,
+                    "Endpoints crash under a part of the prompt."},
         ErrorAnswer{ErrorKind::Stopping, "stopping", 503, Outcome::NotRun, true,
                     "The entry instance is stopping."},
         ErrorAnswer{ErrorKind::NotReady, "not-ready", 503, Outcome::NotRun, true,
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -20,6 +20,7 @@
     ShareExceeded,
     Overloaded,
     NoEndpoint,
+    PromptQuarantined,
     Stopping,
     NotReady,
     DeadlineExceeded,
--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -29,6 +29,9 @@
     EndpointsAge = 18,
     PeerAddress = 19,
     End = 20, ///< Last field; missing in truncated digests.
+    PartCrash = 21,
+    SoundPart = 22,
+    LiveEndpoint = 23,
 };
 
 /// Numbers of the fields of the nested messages on the wire, in the order in which they are
@@ -162,6 +165,69 @@
     return count;
 }
 
+void writePartCrash(const Digest::PartCrash &crash, Writer writer)
+{
+    writer.add_fixed64(tag(NestedField::First), crash.part);
+    writer.add_fixed32(tag(NestedField::Second), crash.endpoint.value());
+    writer.add_uint32(tag(NestedField::Third), crash.position);
+    writer.add_int64(tag(NestedField::Fourth), crash.age.count());
+}
+
+Digest::PartCrash readPartCrash(NestedReader reader)
+{
+    Digest::PartCrash crash;
+    while (reader.next()) {
+        switch (reader.tag_and_type()) {
+        case fixed64(NestedField::First):
+            crash.part = reader.get_fixed64();
+            break;
+        case fixed32(NestedField::Second):
+            crash.endpoint = EndpointHash(reader.get_fixed32());
+            break;
+        case varint(NestedField::Third):
+            crash.position = reader.get_uint32();
+            break;
+        case varint(NestedField::Fourth):
+            crash.age = Duration(reader.get_int64());
+            break;
+        default:
+            reader.skip();
+        }
+    }
+    return crash;
+}
+
+/// Writes the last use of a prompt part or of an endpoint, which both consist of a hash and an age.
+void writeLastUse(std::uint64_t hash, Duration age, Writer writer)
+{
+    writer.add_fixed64(tag(NestedField::First), hash);
+    writer.add_int64(tag(NestedField::Second), age.count());
+}
+
+struct LastUse
+{
+    std::uint64_t hash = 0;
+    Duration age{};
+};
+
+LastUse readLastUse(NestedReader reader)
+{
+    LastUse use;
+    while (reader.next()) {
+        switch (reader.tag_and_type()) {
+        case fixed64(NestedField::First):
+            use.hash = reader.get_fixed64();
+            break;
+        case varint(NestedField::Second):
+            use.age = Duration(reader.get_int64());
+            break;
+        default:
+            reader.skip();
+        }
+    }
+    return use;
+}
+
 void readFlags(std::uint32_t flags, Digest &digest)
 {
     digest.isStopping = (flags & Flag::IsStopping) != 0;
@@ -233,6 +299,20 @@
     case lengthDelimited(DigestField::PeerAddress):
         digest.peerAddresses.push_back(reader.get_string());
         break;
+    case lengthDelimited(DigestField::PartCrash):
+        digest.partCrashes.push_back(readPartCrash(reader.get_message()));
+        break;
+    case lengthDelimited(DigestField::SoundPart): {
+        const LastUse use = readLastUse(reader.get_message());
+        digest.soundParts.push_back({.part = use.hash, .age = use.age});
+        break;
+    }
+    case lengthDelimited(DigestField::LiveEndpoint): {
+        const LastUse use = readLastUse(reader.get_message());
+        digest.liveEndpoints.push_back(
+                {.endpoint = EndpointHash(static_cast<std::uint32_t>(use.hash)), .age = use.age});
+        break;
+    }
     case varint(DigestField::End):
         reader.skip();
         return true;
@@ -273,6 +353,14 @@
     }
     for (const Digest::UsageCount &count : digest.usageCounts)
         writeCount(count, Writer(writer, tag(DigestField::Count)));
+    for (const Digest::PartCrash &crash : digest.partCrashes)
+        writePartCrash(crash, Writer(writer, tag(DigestField::PartCrash)));
+    for (const Digest::SoundPart &sound : digest.soundParts)
+        writeLastUse(sound.part, sound.age, Writer(writer, tag(DigestField::SoundPart)));
+    for (const Digest::LiveEndpoint &live : digest.liveEndpoints) {
+        writeLastUse(live.endpoint.value(), live.age,
+                     Writer(writer, tag(DigestField::LiveEndpoint)));
+    }
     for (const std::string &address : digest.peerAddresses)
         writer.add_string(tag(DigestField::PeerAddress), address);
     writer.add_bool(tag(DigestField::End), true);
--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -213,8 +213,9 @@
         reportEnd(AttemptResult::Answered, {});
 }
 
-void Attempt::onDisconnected(bool isOrderly, std::string_view reason)
+void Attempt::onDisconnected(ConnectionEnd end, std::string_view reason)
 {
+    m_wasDisconnected = end != ConnectionEnd::Failed;
     if (!m_connection->hasSent()) {
         reportEnd(AttemptResult::NotSent, reason);
         return;
@@ -222,7 +223,7 @@
     // A response without a length is complete when the endpoint closes the connection without an
     // error.
     std::error_code error;
-    if (isOrderly && m_reader->isHeadComplete() && !m_reader->isComplete()
+    if (end == ConnectionEnd::Orderly && m_reader->isHeadComplete() && !m_reader->isComplete()
         && m_mode != Mode::Skipped && m_reader->endsAtConnectionClose()) {
         m_reader->readEndOfStream(error);
         if (!error && !m_ended && (m_mode != Mode::Relayed || relayEvents())) {
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -62,6 +62,8 @@
     /// Returns the instant before which the endpoint, which declined, accepts no further request
     /// from this instance.
     std::optional<Instant> endpointClosedUntil() const;
+    /// Whether the endpoint closed or reset the connection before the response was complete.
+    bool wasDisconnected() const { return m_wasDisconnected; }
     bool connectionReused() const { return m_connectionReused; }
     /// Releases the connection if the response is complete and another request may follow on it;
     /// otherwise returns nullptr.
@@ -76,7 +78,7 @@
     };
 
     void onBytesReceived(std::string &input) override;
-    void onDisconnected(bool isOrderly, std::string_view reason) override;
+    void onDisconnected(ConnectionEnd end, std::string_view reason) override;
     void onConnected() override;
 
     void startReader();
@@ -107,6 +109,7 @@
     bool m_connectionReused = false;
     bool m_isHeadRequest = false;
     bool m_ended = false;
+    bool m_wasDisconnected = false;
     TimerQueue::Handle m_connectTimer;
 };
 
--- a/drivers/traffic/endpoint_call.cpp
+++ b/drivers/traffic/endpoint_call.cpp
@@ -48,7 +48,7 @@
         finish({.status = m_reader.head().status, .body = std::move(m_body)});
 }
 
-void EndpointCall::onDisconnected(bool /*isOrderly*/, std::string_view reason)
+void EndpointCall::onDisconnected(ConnectionEnd /*end*/, std::string_view reason)
 {
     finish({.reason = std::string(reason)});
 }
--- a/drivers/traffic/endpoint_call.h
+++ b/drivers/traffic/endpoint_call.h
@@ -39,7 +39,7 @@
 
 private:
     void onBytesReceived(std::string &input) override;
-    void onDisconnected(bool isOrderly, std::string_view reason) override;
+    void onDisconnected(ConnectionEnd end, std::string_view reason) override;
     void onConnected() override { }
     void finish(Response response);
 
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -183,6 +183,7 @@
                    .lastEvent = exchange->lastEventId,
                    .reason = std::string(reason),
                    .closedUntil = attempt.endpointClosedUntil(),
+                   .wasDisconnected = attempt.wasDisconnected(),
                    .sentAt = attempt.sentAt(),
                    .connectionReused = attempt.connectionReused()};
     const bool hasResponse = result == AttemptResult::Answered || result == AttemptResult::Streamed
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -106,6 +106,8 @@
 void ControlPlane::start()
 {
     m_endpointFeed.setChangeHandler([this] { sendBulletin(); });
+    m_context.promptQuarantine.setTrialChooser(
+            [this](std::uint64_t seed, Instant now) { return m_mesh.isChosen(seed, now); });
     m_decisionLog.write(LogLevel::Info, "started", {},
                         {{"zone", m_settings.zone}, {"callers", m_settings.callerListen}});
     m_readyServer.emplace(m_loop, m_settings.readyListen,
@@ -250,6 +252,7 @@
     m_core.restartLateStreams(now);
     m_core.evacuateLeavingEndpoints(now);
     m_mesh.expire(now);
+    m_context.promptQuarantine.expire(now);
     m_context.repeatBudget.setInstanceCount(m_mesh.instanceCount());
     m_context.allowances.updateReservations(m_mesh, now);
     m_context.usageMeter.setClockCorrection(m_mesh.clockCorrection());
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -69,6 +69,7 @@
     std::erase_if(targets, [&holders](const std::string &address) {
         return std::ranges::find(holders, address) != holders.end();
     });
+    m_context.promptQuarantine.fillDigest(digest, now);
     digest.sequence = ++m_digestsSent;
     m_meshSocket.send(digest, targets);
     digest.usageCounts = m_context.usageMeter.recentOwnCounts();
@@ -100,6 +101,7 @@
     m_context.workMeter.applyPeerDigest(*peer);
     m_context.enginePlacer->applyPeerDigest(*peer, now);
     m_context.servicePlacer->applyPeerDigest(*peer, now);
+    m_context.promptQuarantine.applyPeerDigest(*peer);
     for (const Digest::EndpointLoad &load : peer->digest.endpointLoads) {
         if (load.isSuspect)
             m_context.endpointHealth.recordPeerSuspicion(
--- a/main/monsoonsaild/metrics_page.cpp
+++ b/main/monsoonsaild/metrics_page.cpp
@@ -26,6 +26,12 @@
     metrics.setGauge("monsoonsail_endpoints_age_seconds",
                      "Time since all changes of endpoints were known",
                      toSeconds(now - context.endpointsAsOf));
+    metrics.setGauge("monsoonsail_suspect_prompt_parts",
+                     "Prompt parts that were in use when endpoints ended",
+                     static_cast<double>(context.promptQuarantine.suspectCount()));
+    metrics.setGauge("monsoonsail_quarantined_prompt_parts",
+                     "Prompt parts that are not sent on, since endpoints crash under them",
+                     static_cast<double>(context.promptQuarantine.quarantinedCount()));
     metrics.setGauge("monsoonsail_mesh_sent_bytes", "Bytes of digests and bulletins sent",
                      static_cast<double>(socket.sentBytes()));
     metrics.setGauge("monsoonsail_mesh_received_bytes", "Bytes of digests and bulletins received",
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "core/instant.h"
 #include "core/name_hash.h"
+#include "servers/serving/prompt_part.h"
 
 #include <chrono>
 #include <cstdint>
@@ -49,6 +50,26 @@
         AccountId account;
         std::uint32_t requests = 0;
     };
+    /// End of an endpoint just as it began to answer a request with this prompt part.
+    struct PartCrash
+    {
+        PartHash part = 0;
+        EndpointHash endpoint;
+        std::uint32_t position = 0; ///< Index of the part in the prompt.
+        Duration age{};
+    };
+    /// A prompt part on which an endpoint has written an answer.
+    struct SoundPart
+    {
+        PartHash part = 0;
+        Duration age{}; ///< Time since the last such answer.
+    };
+    /// An endpoint that has answered although its end was reported.
+    struct LiveEndpoint
+    {
+        EndpointHash endpoint;
+        Duration age{}; ///< Time since its last answer.
+    };
 
     std::string instance;
     std::string incarnation;
@@ -69,6 +90,9 @@
     bool isComplete = true;
     std::vector<ServiceWork> serviceWork;
     std::vector<UsageCount> usageCounts; ///< Only in digests to the holder of the duties.
+    std::vector<PartCrash> partCrashes;
+    std::vector<SoundPart> soundParts; ///< Only parts for which crashes are reported.
+    std::vector<LiveEndpoint> liveEndpoints;
     /// Age of the sender's knowledge of the configuration and of the endpoints.
     Duration configurationAge{};
     Duration endpointsAge{};
--- a/servers/mesh/mesh.cpp
+++ b/servers/mesh/mesh.cpp
@@ -162,6 +162,14 @@
            });
 }
 
+bool Mesh::isChosen(std::uint64_t seed, Instant now) const
+{
+    const std::uint64_t own = stableHash(m_instance, seed);
+    return std::ranges::none_of(m_peers, [&](const auto &entry) {
+        return isLive(entry.second, now) && stableHash(entry.first, seed) > own;
+    });
+}
+
 bool Mesh::usesRelays() const
 {
     return static_cast<std::int64_t>(m_peers.size()) >= maxInstancesAtBaseInterval;
--- a/servers/serving/prompt_part.h
+++ b/servers/serving/prompt_part.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/identifiers.h"
+
 #include <cstdint>
 #include <span>
 #include <string>
@@ -13,6 +15,11 @@
     std::uint32_t tokens = 0;
 };
 
+/// Identifies a prompt part at the endpoints of one service.
+using PartHash = std::uint64_t;
+
+PartHash partHash(const ServiceId &service, const PromptPart &part);
+
 /// Returns the parts that other requests may have too. The last part is specific to the request.
 std::span<const PromptPart> sharedParts(std::span<const PromptPart> parts);
 
--- a/servers/serving/request_admission.cpp
+++ b/servers/serving/request_admission.cpp
@@ -72,6 +72,17 @@
     record.service = chooseService(*record.route, *record.configuration, context.random);
     if (record.service == nullptr)
         return {.error = ErrorKind::NoEndpoint, .retryAt = now + configurationRetryDelay};
+    const auto verdict =
+            context.promptQuarantine.admit(record.service->name, record.sharedPromptParts(), now);
+    if (verdict) {
+        context.log.write(LogLevel::Warning, "prompt-refused", arrival.callerId,
+                          {{"part_hash", toLog(verdict->part)},
+                           {"shared_parts", partNames(record.sharedPromptParts())},
+                           {"crashes", toLog(verdict->crashes)},
+                           {"last_crash_age_ms", toMs(now - verdict->lastCrashAt)},
+                           {"trial_in_ms", toMs(verdict->trialAt - now)}});
+        return {.error = ErrorKind::PromptQuarantined, .retryAt = std::max(verdict->trialAt, now)};
+    }
     if (record.account != nullptr) {
         const double charge = requestCharge(arrival, record.account->allowance);
         if (const auto retryAt = context.allowances.admit(record.account->name, charge, now)) {
--- a/servers/serving/request_record.h
+++ b/servers/serving/request_record.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace monsoonsail {
@@ -28,6 +29,8 @@
     EndpointId endpoint;
     Instant startedAt;
     bool hasEvents = false;
+    Instant firstEventAt;    ///< Set if it has events.
+    bool isSoundRun = false; ///< Whether the endpoint went on to write after the first event.
     MoveState moveState = MoveState::None;
     unsigned moveRequests = 0;   ///< Moves requested so far.
     bool hasStreamEnded = false; ///< The stream has ended while the move was in progress.
@@ -67,6 +70,10 @@
     AttemptNumber failureAnswerAttempt = 0;
     Instant queueTime; ///< Time of its entry in the deadline queue.
 
+    std::span<const PromptPart> sharedPromptParts() const
+    {
+        return sharedParts(arrival.promptParts);
+    }
     bool isStream() const { return route->kind == RequestKind::Streaming; }
     /// Whether the request may be run again after an attempt that may have run.
     bool isIdempotent() const
--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -24,6 +24,7 @@
     , log(decisionLog)
     , metrics(servingMetrics)
     , random(stableHash(incarnation))
+    , promptQuarantine(log)
     , workMeter(limits.fleet)
     , enginePlacer(std::make_unique<EnginePlacer>(endpointHealth, workMeter,
                                                   stableHash(incarnation, engineSeed)))
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -12,6 +12,7 @@
 #include "servers/ports/decision_log.h"
 #include "servers/ports/serving_metrics.h"
 #include "servers/ports/traffic_port.h"
+#include "servers/quarantine/prompt_quarantine.h"
 #include "servers/retry/repeat_budget.h"
 #include "servers/serving/serving_limits.h"
 #include "servers/site/site_configuration.h"
@@ -50,6 +51,7 @@
     RandomSource random;
     EndpointRegistry endpoints;
     EndpointHealthTracker endpointHealth;
+    PromptQuarantine promptQuarantine;
     WorkMeter workMeter;
     std::unique_ptr<Placer> enginePlacer;
     std::unique_ptr<Placer> servicePlacer;
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -25,6 +25,9 @@
 /// Part of the response goal after which a hedge, a second attempt beside the first, is started.
 constexpr int hedgeDelayPercent = 40;
 constexpr int firstServerErrorStatus = 500;
+/// An endpoint that has written events of an answer for this long doesn't end because of the
+/// prompt.
+constexpr Duration answerBeginTime = std::chrono::milliseconds(200);
 
 std::string_view accountName(const RequestRecord &record)
 {
@@ -76,7 +79,7 @@
     record.hedgeAt = Instant::max();
     const auto placement = m_launcher.place(record, now);
     if (!placement || record.avoidedEndpoints.contains(placement->endpoint)
-        || record.runs >= record.route->maxAttempts
+        || record.runs >= record.route->maxAttempts || isQuarantined(record)
         || !m_context.repeatBudget.tryConsume(record.service->name, now)) {
         reschedule(record);
         return;
@@ -121,7 +124,12 @@
                                                &RunningAttempt::number);
         if (attempt == record.runningAttempts.end())
             continue;
-        attempt->hasEvents = true;
+        if (!std::exchange(attempt->hasEvents, true))
+            attempt->firstEventAt = progress.firstEventAt;
+        const bool isSound = progress.lastEventAt >= attempt->firstEventAt + answerBeginTime;
+        if (isSound && !std::exchange(attempt->isSoundRun, true))
+            recordSoundRun(record, now);
+        m_context.promptQuarantine.recordActivity(attempt->endpoint, progress.lastEventAt);
         m_context.endpointHealth.recordStreamEvent(progress.attempt, progress.lastEventAt);
         m_context.placerFor(*record.service).recordProgress(progress.attempt, progress.events, now);
     }
@@ -160,8 +168,7 @@
     if (isSuccess)
         verdict = EndpointVerdict::Succeeded;
     m_launcher.recordEnd(record, attempt, verdict, now);
-    const std::string parts =
-            isSuccess ? std::string() : partNames(sharedParts(record.arrival.promptParts));
+    const std::string parts = isSuccess ? std::string() : partNames(record.sharedPromptParts());
     m_context.log.write(isSuccess ? LogLevel::Detail : LogLevel::Warning, "attempt-ended",
                         record.arrival.callerId,
                         {{"attempt", toLog(attempt.number)},
@@ -190,9 +197,13 @@
         recordUsage(record, end.sentAt);
     }
     if (isSuccess) {
+        if (attempt.hasEvents)
+            recordSoundRun(record, now);
         handleSuccess(record, end, now);
         return;
     }
+    if (end.result == AttemptResult::Interrupted && end.wasDisconnected)
+        recordCrash(record, attempt, now);
     record.avoidedEndpoints.insert(attempt.endpoint);
     handleFailure(record, attempt, end, now);
 }
@@ -226,6 +237,31 @@
     erase(record);
 }
 
+void ServingCore::recordSoundRun(const RequestRecord &record, Instant now)
+{
+    m_context.promptQuarantine.recordSoundRun(record.service->name, record.sharedPromptParts(),
+                                              now);
+}
+
+void ServingCore::recordCrash(const RequestRecord &record, const RunningAttempt &attempt,
+                              Instant now)
+{
+    const Endpoint *endpoint = m_context.endpoints.find(attempt.endpoint);
+    // An end that was announced, or that the list already knows, has nothing to do with the request.
+    const bool isUnexpected = endpoint != nullptr && endpoint->state == EndpointState::Ready;
+    const bool hasBegun = attempt.hasEvents && attempt.firstEventAt + answerBeginTime <= now;
+    if (!isUnexpected || hasBegun)
+        return;
+    m_context.promptQuarantine.recordCrash(record.service->name, record.sharedPromptParts(),
+                                           attempt.endpoint, now);
+}
+
+bool ServingCore::isQuarantined(const RequestRecord &record) const
+{
+    return m_context.promptQuarantine.find(record.service->name, record.sharedPromptParts())
+            .has_value();
+}
+
 void ServingCore::handleFailure(RequestRecord &record, const RunningAttempt &attempt,
                                 const AttemptEnd &end, Instant now)
 {
@@ -254,7 +290,8 @@
 
 bool ServingCore::mayRetry(const RequestRecord &record, Instant now) const
 {
-    if (record.repeats >= maxRepeats || record.deadline - now < minRemainingTime)
+    if (record.repeats >= maxRepeats || record.deadline - now < minRemainingTime
+        || (!record.isStreaming && isQuarantined(record)))
         return false;
     if (!record.mayHaveRun)
         return true;
--- a/servers/serving/serving_core.h
+++ b/servers/serving/serving_core.h
@@ -64,6 +64,11 @@
     void handleSuccess(RequestRecord &record, const AttemptEnd &end, Instant now);
     void handleFailure(RequestRecord &record, const RunningAttempt &attempt, const AttemptEnd &end,
                        Instant now);
+    void recordSoundRun(const RequestRecord &record, Instant now);
+    /// Records that an endpoint closed the connection of the attempt, if it had hardly answered.
+    void recordCrash(const RequestRecord &record, const RunningAttempt &attempt, Instant now);
+    /// Whether endpoints crash under a part of the request's prompt.
+    bool isQuarantined(const RequestRecord &record) const;
     bool mayRetry(const RequestRecord &record, Instant now) const;
     /// Replaces all running attempts by a new one on another endpoint, if that is allowed.
     void restartOnAnotherEndpoint(RequestRecord &record, Instant now);
--- a/servers/serving/serving_core_moves.cpp
+++ b/servers/serving/serving_core_moves.cpp
@@ -162,7 +162,7 @@
 {
     const std::optional<Placement> target = m_launcher.placeMovedRun(record, now);
     const Endpoint *source = m_context.endpoints.find(attempt.endpoint);
-    if (!target || source == nullptr)
+    if (!target || source == nullptr || (!attempt.hasEvents && isQuarantined(record)))
         return;
     attempt.moveState = RunningAttempt::MoveState::Requested;
     ++attempt.moveRequests;
@@ -241,12 +241,14 @@
         giveUp(record, ErrorKind::NoEndpoint, "the target of the move is no longer known", now);
         return;
     }
-    if (!m_context.endpointHealth.admitUnavoidableRun(attempt.moveTarget, now)) {
+    const bool isClosed = !m_context.endpointHealth.admitUnavoidableRun(attempt.moveTarget, now);
+    if (isClosed || (!attempt.hasEvents && isQuarantined(record))) {
         handleFailure(record, attempt,
                       {.request = record.arrival.number,
                        .attempt = number,
                        .result = AttemptResult::Interrupted,
-                       .reason = "the target of the move is closed"},
+                       .reason = isClosed ? "the target of the move is closed"
+                                          : "the prompt is quarantined"},
                       now);
         return;
     }
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -47,6 +47,12 @@
                                  .promptTokens = 50,
                                  .outputTokens = 60}},
                 .usageCounts = {{.window = 77, .account = AccountId("club"), .requests = 5}},
+                .partCrashes = {{.part = 0x1122334455667788,
+                                 .endpoint = EndpointId("i-2/17"),
+                                 .position = 1,
+                                 .age = milliseconds(700)}},
+                .soundParts = {{.part = 0x99, .age = milliseconds(20)}},
+                .liveEndpoints = {{.endpoint = EndpointId("i-3/17"), .age = milliseconds(10)}},
                 .configurationAge = milliseconds(40),
                 .endpointsAge = milliseconds(30),
                 .peerAddresses = {"10.0.0.8:7600"}};
@@ -64,6 +70,10 @@
         CPPUNIT_ASSERT(received->refusesNewRequests && received->isStopping && received->isReader);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{300}, received->endpointLoads.at(0).promptTokens);
         CPPUNIT_ASSERT(received->endpointsAge == sent.endpointsAge);
+        CPPUNIT_ASSERT_EQUAL(sent.partCrashes.at(0).part, received->partCrashes.at(0).part);
+        CPPUNIT_ASSERT(received->partCrashes.at(0).endpoint == sent.partCrashes.at(0).endpoint);
+        CPPUNIT_ASSERT(received->soundParts.at(0).age == milliseconds(20));
+        CPPUNIT_ASSERT(received->liveEndpoints.at(0).endpoint == EndpointId("i-3/17"));
         CPPUNIT_ASSERT(received->peerAddresses == sent.peerAddresses);
     }
 
--- /dev/null
+++ b/tests/servers/prompt_quarantine_test.cpp
@@ -0,0 +1,303 @@
+#include "servers/quarantine/prompt_quarantine.h"
+#include "tests/servers/recording_log.h"
+#include "tests/servers/serving_fixture.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const ServiceId service("model");
+
+std::vector<PromptPart> prompt(std::initializer_list<std::uint64_t> ids)
+{
+    std::vector<PromptPart> parts;
+    for (const std::uint64_t id : ids)
+        parts.push_back({.id = id, .tokens = 100});
+    return parts;
+}
+
+} // namespace
+
+/// Tests which prompt parts are blamed for the ends of endpoints, by one instance and by several.
+class PromptQuarantineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+    CPPUNIT_TEST(partCommonToCrashesIsRefused);
+    CPPUNIT_TEST(siblingsOfTheCrashingPartAreNotBlamed);
+    CPPUNIT_TEST(sharedPartIsNotBlamedForTheLossOfAZone);
+    CPPUNIT_TEST(soundPartIsNotBlamedForChanceCrashes);
+    CPPUNIT_TEST(lostAnswersOfLivingEndpointsAreNoCrashes);
+    CPPUNIT_TEST(crashesSeenByDifferentInstancesAddUp);
+    CPPUNIT_TEST(answerElsewhereClearsThePart);
+    CPPUNIT_TEST(restartedInstanceLearnsThePartFromAnyPeer);
+    CPPUNIT_TEST(twoCrashingPartsAreBothRefused);
+    CPPUNIT_TEST(partIsRefusedForTheServiceOnlyWhoseEndpointsCrash);
+    CPPUNIT_TEST(singleTrialIsMadeByOneInstance);
+    CPPUNIT_TEST(evidenceStaysBoundedUnderManyNames);
+    CPPUNIT_TEST(refusedRequestIsNeitherSentNorCharged);
+    CPPUNIT_TEST(crashingRequestIsNotRepeatedWithoutEnd);
+    CPPUNIT_TEST(unrelatedRunsOfCrashedEndpointsAreRepeated);
+    CPPUNIT_TEST(endOfALeavingEndpointIsNoEvidence);
+    CPPUNIT_TEST_SUITE_END();
+
+    RecordingLog m_log;
+    PromptQuarantine m_quarantine{m_log};
+    PromptQuarantine m_peer{m_log};
+    Instant m_now = instantFromMicroseconds(1'000'000'000);
+    unsigned m_endpoints = 0;
+
+    EndpointId crash(PromptQuarantine &quarantine, std::initializer_list<std::uint64_t> ids)
+    {
+        const EndpointId endpoint("e" + std::to_string(++m_endpoints) + "/1");
+        quarantine.recordCrash(service, prompt(ids), endpoint, m_now);
+        m_now += milliseconds(300);
+        return endpoint;
+    }
+    bool isRefused(const PromptQuarantine &quarantine, std::initializer_list<std::uint64_t> ids)
+    {
+        return quarantine.find(service, prompt(ids)).has_value();
+    }
+    /// Sends a digest of `from` to `to`.
+    void exchange(const PromptQuarantine &from, PromptQuarantine &to)
+    {
+        Peer peer{.receivedAt = m_now};
+        from.fillDigest(peer.digest, m_now);
+        to.applyPeerDigest(peer);
+    }
+
+public:
+    void partCommonToCrashesIsRefused()
+    {
+        crash(m_quarantine, {1, 20, 666});
+        crash(m_quarantine, {1, 21, 666});
+        CPPUNIT_ASSERT(!isRefused(m_quarantine, {1, 666}));
+        crash(m_quarantine, {2, 22, 666});
+        CPPUNIT_ASSERT(isRefused(m_quarantine, {3, 23, 666}));
+        CPPUNIT_ASSERT(!isRefused(m_quarantine, {1, 20}));
+    }
+
+    // The siblings have no sound runs of their own, and some appear in several crashes.
+    void siblingsOfTheCrashingPartAreNotBlamed()
+    {
+        for (const std::uint64_t sibling : {20, 20, 20, 21, 20, 21})
+            crash(m_quarantine, {1, 666, sibling});
+        m_quarantine.recordSoundRun(service, prompt({1, 30}), m_now);
+        CPPUNIT_ASSERT(isRefused(m_quarantine, {666}));
+        CPPUNIT_ASSERT(!isRefused(m_quarantine, {1, 20, 21}));
+    }
+
+    void sharedPartIsNotBlamedForTheLossOfAZone()
+    {
+        for (unsigned number = 0; number < 30; ++number) {
+            const EndpointId endpoint("zone" + std::to_string(number));
+            m_quarantine.recordCrash(service, prompt({1, 20 + number % 3}), endpoint,
+                                     m_now + milliseconds(number));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_quarantine.quarantinedCount());
+    }
+
+    void soundPartIsNotBlamedForChanceCrashes()
+    {
+        for (unsigned round = 0; round < 20; ++round) {
+            crash(m_quarantine, {1, 100 + round});
+            crash(m_quarantine, {1, 200 + round});
+            m_quarantine.recordSoundRun(service, prompt({1}), m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_quarantine.quarantinedCount());
+    }
+
+    void lostAnswersOfLivingEndpointsAreNoCrashes()
+    {
+        std::vector<EndpointId> endpoints;
+        for (unsigned count = 0; count < 4; ++count)
+            endpoints.push_back(crash(m_quarantine, {1, 30}));
+        exchange(m_quarantine, m_peer);
+        CPPUNIT_ASSERT(isRefused(m_peer, {30}));
+        for (const EndpointId &endpoint : endpoints)
+            m_peer.recordActivity(endpoint, m_now);
+        CPPUNIT_ASSERT(!isRefused(m_peer, {30}));
+        exchange(m_peer, m_quarantine);
+        CPPUNIT_ASSERT(!isRefused(m_quarantine, {30}));
+        exchange(m_quarantine, m_peer);
+        CPPUNIT_ASSERT(!isRefused(m_peer, {30}));
+    }
+
+    void crashesSeenByDifferentInstancesAddUp()
+    {
+        crash(m_quarantine, {1, 666});
+        crash(m_quarantine, {1, 20, 666});
+        crash(m_peer, {1, 21, 666});
+        m_quarantine.recordSoundRun(service, prompt({1}), m_now);
+        exchange(m_quarantine, m_peer);
+        exchange(m_peer, m_quarantine);
+        CPPUNIT_ASSERT(isRefused(m_quarantine, {666}));
+        CPPUNIT_ASSERT(isRefused(m_peer, {666}));
+        exchange(m_quarantine, m_peer);
+        CPPUNIT_ASSERT(!isRefused(m_peer, {1}));
+    }
+
+    void answerElsewhereClearsThePart()
+    {
+        for (unsigned count = 0; count < 3; ++count)
+            crash(m_quarantine, {1, 40});
+        CPPUNIT_ASSERT(isRefused(m_quarantine, {40}));
+        m_peer.recordSoundRun(service, prompt({1, 40}), m_now);
+        exchange(m_quarantine, m_peer);
+        CPPUNIT_ASSERT(!isRefused(m_peer, {40}));
+        exchange(m_peer, m_quarantine);
+        CPPUNIT_ASSERT(!isRefused(m_quarantine, {40}));
+    }
+
+    void restartedInstanceLearnsThePartFromAnyPeer()
+    {
+        for (unsigned count = 0; count < 3; ++count)
+            crash(m_quarantine, {1, 666});
+        exchange(m_quarantine, m_peer);
+        m_now += seconds(30);
+        PromptQuarantine restarted(m_log);
+        exchange(m_peer, restarted);
+        CPPUNIT_ASSERT(isRefused(restarted, {666}));
+        // What comes back by way of others doesn't seem newer than it is.
+        exchange(restarted, m_quarantine);
+        const auto verdict = m_quarantine.find(service, prompt({666}));
+        CPPUNIT_ASSERT(verdict->lastCrashAt <= m_now - seconds(30));
+    }
+
+    void twoCrashingPartsAreBothRefused()
+    {
+        for (unsigned count = 0; count < 3; ++count) {
+            crash(m_quarantine, {1, 20 + count, 666});
+            crash(m_quarantine, {1, 777, 30 + count});
+        }
+        m_quarantine.recordSoundRun(service, prompt({1}), m_now);
+        CPPUNIT_ASSERT(isRefused(m_quarantine, {666}));
+        CPPUNIT_ASSERT(isRefused(m_quarantine, {777}));
+        CPPUNIT_ASSERT(!isRefused(m_quarantine, {1, 20, 30}));
+    }
+
+    void partIsRefusedForTheServiceOnlyWhoseEndpointsCrash()
+    {
+        for (unsigned count = 0; count < 3; ++count)
+            crash(m_quarantine, {666});
+        CPPUNIT_ASSERT(!m_quarantine.find(ServiceId("other"), prompt({666})));
+    }
+
+    void singleTrialIsMadeByOneInstance()
+    {
+        for (unsigned count = 0; count < 3; ++count)
+            crash(m_quarantine, {666});
+        exchange(m_quarantine, m_peer);
+        m_quarantine.setTrialChooser([](std::uint64_t seed, Instant) { return seed % 2 == 0; });
+        m_peer.setTrialChooser([](std::uint64_t seed, Instant) { return seed % 2 == 1; });
+        CPPUNIT_ASSERT(m_quarantine.admit(service, prompt({666}), m_now));
+        unsigned trials = 0;
+        const Instant end = m_now + minutes(6);
+        for (m_now += minutes(5); m_now < end; m_now += milliseconds(100)) {
+            for (PromptQuarantine *instance : {&m_quarantine, &m_peer}) {
+                if (instance->admit(service, prompt({666}), m_now))
+                    continue;
+                ++trials;
+                instance->recordCrash(service, prompt({666}),
+                                      EndpointId("t" + std::to_string(trials)), m_now);
+                exchange(*instance, instance == &m_peer ? m_quarantine : m_peer);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(1U, trials);
+    }
+
+    void evidenceStaysBoundedUnderManyNames()
+    {
+        for (unsigned count = 0; count < 3; ++count)
+            crash(m_quarantine, {1, 666});
+        for (std::uint64_t name = 1000; name < 101'000; ++name) {
+            m_quarantine.recordCrash(service, prompt({name}),
+                                     EndpointId("x" + std::to_string(name % 500)), m_now);
+            m_quarantine.recordSoundRun(service, prompt({name * 1000}), m_now);
+        }
+        CPPUNIT_ASSERT(m_quarantine.suspectCount() <= 256);
+        CPPUNIT_ASSERT(isRefused(m_quarantine, {666}));
+        Digest digest;
+        m_quarantine.fillDigest(digest, m_now);
+        CPPUNIT_ASSERT(digest.partCrashes.size() <= 64);
+        CPPUNIT_ASSERT(digest.soundParts.size() <= 32);
+        exchange(m_quarantine, m_peer);
+        CPPUNIT_ASSERT(isRefused(m_peer, {666}));
+    }
+
+    void refusedRequestIsNeitherSentNorCharged()
+    {
+        ServingFixture fixture;
+        fixture.publishConfiguration({ServingFixture::account(1, 1)}, 2);
+        for (unsigned count = 0; count < 3; ++count)
+            crash(fixture.context.promptQuarantine, {666});
+        fixture.arrive("/plan/1", "key", prompt({1, 666, 5}));
+        CPPUNIT_ASSERT(fixture.lastRefusal() == ErrorKind::PromptQuarantined);
+        CPPUNIT_ASSERT(fixture.traffic.refusals.back().retryAt > fixture.now);
+        CPPUNIT_ASSERT(fixture.traffic.starts.empty());
+        CPPUNIT_ASSERT(!fixture.log.lastTexts["prompt-refused"]["shared_parts"].empty());
+        fixture.arrive("/plan/1", "key", prompt({1, 6}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.traffic.starts.size());
+    }
+
+    /// Ends the latest attempt as if its endpoint had crashed. Another endpoint takes its place.
+    void crashUnder(ServingFixture &fixture, RequestNumber request)
+    {
+        fixture.now += milliseconds(100);
+        fixture.listEndpoint("n" + std::to_string(++m_endpoints), "model");
+        const AttemptStart attempt = fixture.latestAttempt(request);
+        fixture.core.handleAttemptEnd({.request = request,
+                                       .attempt = attempt.attempt,
+                                       .result = AttemptResult::Interrupted,
+                                       .wasDisconnected = true},
+                                      fixture.now);
+        fixture.context.endpoints.markLeaving(attempt.endpoint, fixture.now);
+    }
+
+    void crashingRequestIsNotRepeatedWithoutEnd()
+    {
+        ServingFixture fixture;
+        std::size_t sent = 0;
+        for (unsigned count = 0; count < 20; ++count) {
+            sent = fixture.traffic.starts.size();
+            const RequestNumber request =
+                    fixture.arrive("/review/1", "key", prompt({1, 20 + count, 666, count}));
+            while (fixture.traffic.starts.size() > sent && !fixture.core.isIdle()) {
+                sent = fixture.traffic.starts.size();
+                crashUnder(fixture, request);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.traffic.starts.size());
+    }
+
+    void unrelatedRunsOfCrashedEndpointsAreRepeated()
+    {
+        ServingFixture fixture;
+        const RequestNumber sound = fixture.arrive("/review/1", "key", prompt({1, 20, 7}));
+        fixture.progress(sound, 1, 1);
+        fixture.advance(milliseconds(100));
+        crashUnder(fixture, sound);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.traffic.starts.size());
+    }
+
+    void endOfALeavingEndpointIsNoEvidence()
+    {
+        ServingFixture fixture;
+        const RequestNumber request = fixture.arrive("/plan/1", "key", prompt({1, 20, 7}));
+        fixture.context.endpoints.markLeaving(fixture.latestAttempt(request).endpoint, fixture.now);
+        crashUnder(fixture, request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.context.promptQuarantine.suspectCount());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
