Don't take an empty stream without length for a whole answer

A stream may come with neither a length nor chunks and end with its connection. If its engine ended after the head and before the first event, the relay reported the stream as complete, so the caller got an empty success, the request was not repeated, and the end was no evidence against its prompt. Such a stream is interrupted now, unless it resumes after an event: then nothing may be left to send. Streams that end inside an event already were.

Evidence: TrafficRelayStreamTest::streamWithoutLengthOrEventsIsInterrupted failed before (result Streamed); streamWithoutLengthEndsWithItsConnection and streamWithoutLengthEndingInsideAnEventIsInterrupted passed before and after.

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -175,6 +175,7 @@
 bool Attempt::relayEvents()
 {
     while (const auto event = m_eventSplitter.next()) {
+        m_hasEvents = true;
         m_owner.onStreamEvent(*this, m_reader->head(), *event, m_eventSplitter.id());
         if (m_ended)
             return false;
@@ -203,6 +204,9 @@
 {
     if (m_mode == Mode::Relayed && m_eventSplitter.hasRemainder())
         reportEnd(AttemptResult::Interrupted, "the stream ended inside an event");
+    else if (m_mode == Mode::Relayed && !m_hasEvents && !m_start.resumeAfter
+             && m_reader->endsAtConnectionClose())
+        reportEnd(AttemptResult::Interrupted, "the stream ended before its first event");
     else if (m_mode == Mode::Relayed)
         reportEnd(AttemptResult::Streamed, {});
     else if (m_responseTraits.isMisdirected)
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -108,6 +108,7 @@
     unsigned m_skippedResponses = 0;
     bool m_connectionReused = false;
     bool m_isHeadRequest = false;
+    bool m_hasEvents = false; ///< Whether the stream has had an event.
     bool m_ended = false;
     bool m_wasDisconnected = false;
     TimerQueue::Handle m_connectTimer;
--- a/tests/drivers/traffic_relay_stream_test.cpp
+++ b/tests/drivers/traffic_relay_stream_test.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST_SUITE(TrafficRelayStreamTest);
     CPPUNIT_TEST(wholeEventsAreForwardedOnArrival);
     CPPUNIT_TEST(streamEndingInsideAnEventIsInterrupted);
+    CPPUNIT_TEST(streamWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(streamWithoutLengthEndingInsideAnEventIsInterrupted);
+    CPPUNIT_TEST(streamWithoutLengthOrEventsIsInterrupted);
     CPPUNIT_TEST(resumedStreamContinuesWithoutDuplicates);
     CPPUNIT_TEST(errorResponseIsNotWrittenIntoAStream);
     CPPUNIT_TEST(abortedStreamIsIncompleteForTheCaller);
@@ -75,6 +78,41 @@
                        == std::string::npos);
     }
 
+    /// Returns the end of a stream without length or chunks that has this body.
+    AttemptEnd endOfUnframedStream(const std::string &body,
+                                   std::optional<EventId> resumeAfter = std::nullopt)
+    {
+        const RawSocket client = connectCaller();
+        startAttempt(m_listener.nextArrival().number, true, resumeAfter);
+        RawSocket endpoint = m_endpoint.accept();
+        endpoint.receiveUntil("\r\n\r\n");
+        endpoint.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + body);
+        endpoint.close();
+        return m_listener.nextAttemptEnd();
+    }
+
+    void streamWithoutLengthEndsWithItsConnection()
+    {
+        CPPUNIT_ASSERT(endOfUnframedStream(event(1) + event(2)).result == AttemptResult::Streamed);
+    }
+
+    void streamWithoutLengthEndingInsideAnEventIsInterrupted()
+    {
+        const AttemptEnd end = endOfUnframedStream(event(1) + "id: 2\nda");
+        CPPUNIT_ASSERT(end.result == AttemptResult::Interrupted);
+        CPPUNIT_ASSERT(end.wasDisconnected);
+        CPPUNIT_ASSERT_EQUAL(EventId{1}, *end.lastEvent);
+    }
+
+    // The endpoint ended before its first event. A resumed stream may have nothing left to send.
+    void streamWithoutLengthOrEventsIsInterrupted()
+    {
+        const AttemptEnd end = endOfUnframedStream("");
+        CPPUNIT_ASSERT(end.result == AttemptResult::Interrupted);
+        CPPUNIT_ASSERT(end.wasDisconnected);
+        CPPUNIT_ASSERT(endOfUnframedStream("", 7).result == AttemptResult::Streamed);
+    }
+
     void resumedStreamContinuesWithoutDuplicates()
     {
         const RawSocket client = connectCaller();
