Read and log the request limits that endpoints name in their answers

The logs could not tell an instance that did not know of a limit from one that did not heed it. Answers are searched for the limit now (any status; a value that is negative, huge, repeated or no number is ignored), and each answer that names one, and the first without it after that, is logged as endpoint-limit. Nothing heeds it yet.

Tests: HttpCodecTest::requestLimitIsParsed, TrafficRelayTest::requestLimitIsReportedUntilItIsNoLongerNamed.

--- a/drivers/control/control_mailbox.h
+++ b/drivers/control/control_mailbox.h
@@ -46,6 +46,10 @@
     {
         m_loop.post([this, end] { m_listener.onEndpointChecked(end); });
     }
+    void onEndpointLimitReported(const EndpointLimitReport &report) override
+    {
+        m_loop.post([this, report] { m_listener.onEndpointLimitReported(report); });
+    }
     void onEndpointLeaving(const EndpointId &endpoint) override
     {
         m_loop.post([this, endpoint] { m_listener.onEndpointLeaving(endpoint); });
--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -156,6 +156,7 @@
         m_mode = Mode::Skipped;
         return;
     }
+    m_owner.onResponseHead(m_start.endpoint, m_responseTraits);
     const bool isStream = m_start.isStream && head.status == statusOk && isEventStream(head);
     m_mode = isStream ? Mode::Relayed : Mode::Buffered;
 }
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -28,6 +28,8 @@
     /// Called for each complete event of a streamed response. `head` is the head of the response.
     virtual void onStreamEvent(Attempt &attempt, const ResponseHead &head, std::string_view event,
                                std::optional<EventId> id) = 0;
+    /// Called for each response to the request.
+    virtual void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) = 0;
     /// Called when a response announces that the endpoint is shutting down.
     virtual void onEndpointLeaving(const EndpointId &endpoint) = 0;
     /// Called once when the attempt has ended. The owner must not destroy the attempt during the
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -166,6 +166,21 @@
     caller->write(output);
 }
 
+void TrafficRelay::onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits)
+{
+    const bool namesLimit = traits.requestsPerSecond || traits.hasInvalidLimit;
+    if (!namesLimit && !m_limitedEndpoints.contains(endpoint))
+        return;
+    if (traits.requestsPerSecond)
+        m_limitedEndpoints.insert(endpoint);
+    else if (!traits.hasInvalidLimit)
+        m_limitedEndpoints.erase(endpoint);
+    m_listener.onEndpointLimitReported({.endpoint = endpoint,
+                                        .requestsPerSecond = traits.requestsPerSecond,
+                                        .isInvalid = traits.hasInvalidLimit,
+                                        .receivedAt = m_loop.now()});
+}
+
 void TrafficRelay::onEndpointLeaving(const EndpointId &endpoint)
 {
     m_listener.onEndpointLeaving(endpoint);
@@ -286,6 +301,7 @@
 void TrafficRelay::closeConnections(const EndpointId &endpoint)
 {
     m_endpointPool.closeIdle(endpoint);
+    m_limitedEndpoints.erase(endpoint);
 }
 
 void TrafficRelay::applyLimits(const ConnectionLimits &limits)
--- a/drivers/traffic/traffic_relay.h
+++ b/drivers/traffic/traffic_relay.h
@@ -12,6 +12,7 @@
 #include "servers/ports/traffic_port.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -60,6 +61,7 @@
 
     void onStreamEvent(Attempt &attempt, const ResponseHead &head, std::string_view event,
                        std::optional<EventId> id) override;
+    void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) override;
     void onEndpointLeaving(const EndpointId &endpoint) override;
     void onAttemptEnded(Attempt &attempt, AttemptResult result, std::string_view reason) override;
 
@@ -86,6 +88,7 @@
     std::vector<std::unique_ptr<Attempt>> m_endedAttempts;
     std::vector<std::unique_ptr<EndpointCall>> m_endpointCalls;
     std::unordered_set<RequestNumber> m_requestsWithProgress; ///< Exchanges with events to report.
+    std::set<EndpointId> m_limitedEndpoints; ///< Their last response named a limit.
     RequestNumber m_lastRequest = 0;
     TimerQueue::Handle m_progressTimer;
     TimerQueue::Handle m_sweepTimer;
--- a/drivers/traffic/wire_codec.h
+++ b/drivers/traffic/wire_codec.h
@@ -24,6 +24,9 @@
     bool wasNotRun = false;              ///< The endpoint did not run the request.
     bool isMisdirected = false; ///< The endpoint is not on the instance that the request names.
     bool isLeaving = false;     ///< The endpoint is shutting down and accepts no new requests.
+    /// Requests a second that the endpoint takes from all instances together, if it limits them.
+    std::optional<double> requestsPerSecond;
+    bool hasInvalidLimit = false; ///< The header has such a limit, but no usable one.
     /// Time for which the endpoint, which declined, accepts no further requests from this instance.
     std::optional<Duration> retryAfter;
     /// How long the connection may stay idle.
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -191,6 +191,15 @@
     armDeadlineTimer();
 }
 
+void ControlPlane::onEndpointLimitReported(const EndpointLimitReport &report)
+{
+    m_decisionLog.write(report.isInvalid ? LogLevel::Warning : LogLevel::Info, "endpoint-limit", {},
+                        {{"endpoint", report.endpoint.view()},
+                         {"limited", report.requestsPerSecond.has_value()},
+                         {"per_second", report.requestsPerSecond.value_or(0)},
+                         {"readable", !report.isInvalid}});
+}
+
 void ControlPlane::onEndpointLeaving(const EndpointId &endpoint)
 {
     m_core.handleEndpointLeaving(endpoint, m_loop.now());
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -53,6 +53,7 @@
     void onAttemptEnded(const AttemptEnd &end) override;
     void onRunMoveEnded(const RunMoveEnd &end) override;
     void onEndpointChecked(const EndpointCheckEnd &end) override;
+    void onEndpointLimitReported(const EndpointLimitReport &report) override;
     void onEndpointLeaving(const EndpointId &endpoint) override;
 
 private:
--- a/servers/ports/traffic_listener.h
+++ b/servers/ports/traffic_listener.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "servers/serving/attempt_end.h"
 #include "servers/serving/endpoint_check.h"
+#include "servers/serving/endpoint_limit_report.h"
 #include "servers/serving/request_arrival.h"
 #include "servers/serving/run_move.h"
 #include "servers/serving/stream_progress.h"
@@ -24,6 +25,8 @@
     virtual void onAttemptEnded(const AttemptEnd &end) = 0;
     virtual void onRunMoveEnded(const RunMoveEnd &end) = 0;
     virtual void onEndpointChecked(const EndpointCheckEnd &end) = 0;
+    /// Called for each answer that names a limit, and for the next one without a limit after it.
+    virtual void onEndpointLimitReported(const EndpointLimitReport &report) = 0;
     /// Called when the endpoint announces in an answer that it is about to end.
     virtual void onEndpointLeaving(const EndpointId &endpoint) = 0;
 };
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -247,7 +247,8 @@
                               Instant now)
 {
     const Endpoint *endpoint = m_context.endpoints.find(attempt.endpoint);
-    // An end that was announced, or that the list already knows, has nothing to do with the request.
+    // An end that was announced, or that the list already knows, has nothing to do with the
+    // request.
     const bool isUnexpected = endpoint != nullptr && endpoint->state == EndpointState::Ready;
     const bool hasBegun = attempt.hasEvents && attempt.firstEventAt + answerBeginTime <= now;
     if (!isUnexpected || hasBegun)
--- a/tests/drivers/plain_codec.h
+++ b/tests/drivers/plain_codec.h
@@ -31,6 +31,9 @@
         if (const auto id = head.fields.find("Id"))
             traits.callerId = std::string(*id);
         traits.isLeaving = head.fields.find("Leaving").has_value();
+        if (head.fields.find("Two-Per-Second"))
+            traits.requestsPerSecond = 2;
+        traits.hasInvalidLimit = head.fields.find("Bad-Limit").has_value();
         if (head.fields.find("Closed-For-2s"))
             traits.retryAfter = std::chrono::seconds(2);
         return traits;
--- a/tests/drivers/traffic_relay_fixture.h
+++ b/tests/drivers/traffic_relay_fixture.h
@@ -36,6 +36,10 @@
     void onAttemptEnded(const AttemptEnd &end) override { push(m_ends, end); }
     void onRunMoveEnded(const RunMoveEnd &end) override { push(m_moveEnds, end); }
     void onEndpointChecked(const EndpointCheckEnd &end) override { push(m_checkEnds, end); }
+    void onEndpointLimitReported(const EndpointLimitReport &report) override
+    {
+        push(m_limitReports, report);
+    }
     void onEndpointLeaving(const EndpointId &endpoint) override
     {
         push(m_leavingEndpoints, endpoint);
@@ -47,6 +51,7 @@
     RunMoveEnd nextMoveEnd() { return waitForNext(m_moveEnds); }
     EndpointCheckEnd nextCheckEnd() { return waitForNext(m_checkEnds); }
     StreamProgress nextProgress() { return waitForNext(m_progress); }
+    EndpointLimitReport nextLimitReport() { return waitForNext(m_limitReports); }
     EndpointId nextLeavingEndpoint() { return waitForNext(m_leavingEndpoints); }
 
 private:
@@ -78,6 +83,7 @@
     std::deque<AttemptEnd> m_ends;
     std::deque<RunMoveEnd> m_moveEnds;
     std::deque<EndpointCheckEnd> m_checkEnds;
+    std::deque<EndpointLimitReport> m_limitReports;
     std::deque<EndpointId> m_leavingEndpoints;
 };
 
--- a/tests/drivers/traffic_relay_test.cpp
+++ b/tests/drivers/traffic_relay_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(responseWithoutLengthEndsAtConnectionClose);
     CPPUNIT_TEST(responseWithoutLengthIsInterruptedByReset);
     CPPUNIT_TEST(declinedAndMisdirectedResponsesAreDistinguished);
+    CPPUNIT_TEST(requestLimitIsReportedUntilItIsNoLongerNamed);
     CPPUNIT_TEST(refusedConnectionIsReportedAsNotSent);
     CPPUNIT_TEST(cancelClosesTheEndpointConnection);
     CPPUNIT_TEST(callerDisconnectIsReported);
@@ -161,6 +162,25 @@
         CPPUNIT_ASSERT(m_listener.nextAttemptEnd().result == AttemptResult::Misdirected);
     }
 
+    void requestLimitIsReportedUntilItIsNoLongerNamed()
+    {
+        RawSocket endpoint;
+        const auto answerWith = [&](const std::string &field) {
+            const RawSocket client = connectCaller();
+            const AttemptEnd end = runAttempt(
+                    endpoint, "HTTP/1.1 200 OK\r\nId: r\r\n" + field + "Content-Length: 0\r\n\r\n");
+            deliver(end);
+        };
+        answerWith("Two-Per-Second: yes\r\n");
+        CPPUNIT_ASSERT(m_listener.nextLimitReport().requestsPerSecond == 2.0);
+        answerWith("Bad-Limit: yes\r\n");
+        CPPUNIT_ASSERT(m_listener.nextLimitReport().isInvalid);
+        answerWith("");
+        const EndpointLimitReport last = m_listener.nextLimitReport();
+        CPPUNIT_ASSERT(!last.requestsPerSecond && !last.isInvalid);
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), last.endpoint.value());
+    }
+
     void refusedConnectionIsReportedAsNotSent()
     {
         const RawSocket client = connectCaller();
--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(pastDeadlineIsForwardedAsPositive);
     CPPUNIT_TEST(responseTraitsAreParsed);
     CPPUNIT_TEST(leavingAndRetryAfterAreParsed);
+    CPPUNIT_TEST(requestLimitIsParsed);
     CPPUNIT_TEST(moveResponsesAreParsed);
     CPPUNIT_TEST(statusCheckNeedsNoSlot);
     CPPUNIT_TEST_SUITE_END();
@@ -195,6 +196,27 @@
         CPPUNIT_ASSERT(!m_codec.parseResponse(staying).isLeaving);
     }
 
+    void requestLimitIsParsed()
+    {
+        for (const int status : {200, 429, 503}) {
+            ResponseHead head{.status = status};
+            head.fields.add("Server-Limit", "1.5");
+            CPPUNIT_ASSERT(m_codec.parseResponse(head).requestsPerSecond == 1.5);
+        }
+        for (const char *text : {"", "few", "-1", "inf", "nan", "1e300", "1 2"}) {
+            ResponseHead invalid{.status = 200};
+            invalid.fields.add("Server-Limit", text);
+            const ResponseTraits traits = m_codec.parseResponse(invalid);
+            CPPUNIT_ASSERT_MESSAGE(text, traits.hasInvalidLimit && !traits.requestsPerSecond);
+        }
+        ResponseHead repeated{.status = 200};
+        repeated.fields.add("Server-Limit", "1");
+        repeated.fields.add("Server-Limit", "9");
+        CPPUNIT_ASSERT(m_codec.parseResponse(repeated).hasInvalidLimit);
+        const ResponseTraits none = m_codec.parseResponse({.status = 200});
+        CPPUNIT_ASSERT(!none.requestsPerSecond && !none.hasInvalidLimit);
+    }
+
     void moveResponsesAreParsed()
     {
         CPPUNIT_ASSERT(parseMoveResponse(200, R"({"Handle": "h"})").result == RunMoveResult::Moved);
--- a/tests/support/fake_endpoint.cpp
+++ b/tests/support/fake_endpoint.cpp
@@ -76,6 +76,12 @@
     m_platform.put("keyed.servers", m_instance, "");
 }
 
+std::vector<std::chrono::steady_clock::time_point> FakeEndpoint::requestTimes()
+{
+    const std::lock_guard lock(m_requestTimesMutex);
+    return m_requestTimes;
+}
+
 void FakeEndpoint::restartIfCrashed()
 {
     if (!m_hasCrashed.exchange(false))
@@ -117,6 +123,12 @@
             continue;
         }
         m_runCounter.countRun(id);
+        if (!m_requestLimit.empty())
+            echo.emplace_back("Server-Limit", m_requestLimit);
+        {
+            const std::lock_guard lock(m_requestTimesMutex);
+            m_requestTimes.push_back(std::chrono::steady_clock::now());
+        }
         if (m_isLeaving) {
             m_timeOfLastRunAfterLeaving = std::chrono::duration_cast<std::chrono::milliseconds>(
                     std::chrono::steady_clock::now() - m_leavingSince);
@@ -134,7 +146,8 @@
 {
     const std::string resumeAfter = field(request, "Last-Event-Id");
     std::uint64_t event = resumeAfter.empty() ? 0 : std::stoull(resumeAfter);
-    socket.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id
+    const std::string limit = m_requestLimit.empty() ? "" : "\r\nServer-Limit: " + m_requestLimit;
+    socket.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id + limit
                 + "\r\nTransfer-Encoding: chunked\r\n\r\n");
     if (!m_crashingPart.empty()
         && field(request, "X-Prompt-Prefix").find(m_crashingPart) != std::string::npos) {
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -9,7 +9,9 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <mutex>
 #include <string>
+#include <vector>
 
 namespace monsoonsail {
 
@@ -40,6 +42,10 @@
     unsigned crashCount() const { return m_crashCount; }
     /// Starts as another incarnation if it has crashed since the last start.
     void restartIfCrashed();
+    /// Names this limit of requests a second in all answers. Call it before the first request.
+    void setRequestLimit(const std::string &limit) { m_requestLimit = limit; }
+    /// Returns when requests arrived.
+    std::vector<std::chrono::steady_clock::time_point> requestTimes();
     /// Returns how long after the leaving was announced the last request began to run, or 0 if none
     /// did.
     std::chrono::milliseconds timeOfLastRunAfterLeaving() const
@@ -61,6 +67,9 @@
     std::uint64_t m_sequence = 0;
     std::atomic<bool> m_isLeaving = false;
     std::atomic<bool> m_announcesLeavingInAnswers = false;
+    std::string m_requestLimit; ///< Empty if it names none.
+    std::mutex m_requestTimesMutex;
+    std::vector<std::chrono::steady_clock::time_point> m_requestTimes;
     std::string m_crashingPart; ///< Text that marks the part in a list of parts; may be empty.
     std::atomic<unsigned> m_crashCount = 0;
     std::atomic<bool> m_hasCrashed = false;
