Keep the request limits of endpoints, all instances together

Cause: the limit was no part of what an answer says, so neither placing nor the exchange between instances knew of it.

Change: EndpointLimits keeps what answers say by incarnation; digests tell the other instances, and only instances that read a limit themselves pass it on, so that a report can't come back and seem newer. RateShares divides the limit: in each second, every instance may send a whole number of requests, which all compute alike from the known instances, a hash and the shared clock, so the sum keeps the limit whatever the number of instances, and limits below one are kept as well. Unused shares are lost, so no burst builds up in a pause. Silent instances keep their shares for 15 s. Endpoints without a share are no candidates for first attempts, repeats, hedges, resumed streams or moves; a move takes its share when it is requested, and what can't be avoided is paid for by later shares. If no endpoint of a service has a share, requests are refused at once as not run, with the time of the next share. At least one request in 5 s goes to each endpoint, since only an answer lifts a limit.

Weighed: a bucket for each instance with its part of the limit saves up to one request for each instance, which is 33 for a limit of 1 a second and 33 instances where 11 are allowed in 4 s.

--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -32,6 +32,7 @@
     PartCrash = 21,
     SoundPart = 22,
     LiveEndpoint = 23,
+    EndpointLimit = 24,
 };
 
 /// Numbers of the fields of the nested messages on the wire, in the order in which they are
@@ -228,6 +229,35 @@
     return use;
 }
 
+void writeEndpointLimit(const Digest::EndpointLimit &limit, Writer writer)
+{
+    writer.add_fixed32(tag(NestedField::First), limit.endpoint.value());
+    writer.add_int64(tag(NestedField::Second), limit.age.count());
+    if (limit.perSecond)
+        writer.add_double(tag(NestedField::Third), *limit.perSecond);
+}
+
+Digest::EndpointLimit readEndpointLimit(NestedReader reader)
+{
+    Digest::EndpointLimit limit;
+    while (reader.next()) {
+        switch (reader.tag_and_type()) {
+        case fixed32(NestedField::First):
+            limit.endpoint = EndpointHash(reader.get_fixed32());
+            break;
+        case varint(NestedField::Second):
+            limit.age = Duration(reader.get_int64());
+            break;
+        case fixed64(NestedField::Third):
+            limit.perSecond = reader.get_double();
+            break;
+        default:
+            reader.skip();
+        }
+    }
+    return limit;
+}
+
 void readFlags(std::uint32_t flags, Digest &digest)
 {
     digest.isStopping = (flags & Flag::IsStopping) != 0;
@@ -313,6 +343,9 @@
                 {.endpoint = EndpointHash(static_cast<std::uint32_t>(use.hash)), .age = use.age});
         break;
     }
+    case lengthDelimited(DigestField::EndpointLimit):
+        digest.endpointLimits.push_back(readEndpointLimit(reader.get_message()));
+        break;
     case varint(DigestField::End):
         reader.skip();
         return true;
@@ -361,6 +394,8 @@
         writeLastUse(live.endpoint.value(), live.age,
                      Writer(writer, tag(DigestField::LiveEndpoint)));
     }
+    for (const Digest::EndpointLimit &limit : digest.endpointLimits)
+        writeEndpointLimit(limit, Writer(writer, tag(DigestField::EndpointLimit)));
     for (const std::string &address : digest.peerAddresses)
         writer.add_string(tag(DigestField::PeerAddress), address);
     writer.add_bool(tag(DigestField::End), true);
--- a/drivers/mesh/wire_fields.h
+++ b/drivers/mesh/wire_fields.h
@@ -10,7 +10,7 @@
 /// Kind of a datagram and version of its layout; the first field of each datagram. The number must
 /// change with every change of the layout, so that datagrams of other versions are dropped.
 enum class Layout : std::uint32_t {
-    Digest = 6,
+    Digest = 7,
     Bulletin = 105,
 };
 constexpr protozero::pbf_tag_type layoutTag = 1;
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -193,6 +193,8 @@
 
 void ControlPlane::onEndpointLimitReported(const EndpointLimitReport &report)
 {
+    if (!report.isInvalid && !m_context.endpointLimits.record(report))
+        return;
     m_decisionLog.write(report.isInvalid ? LogLevel::Warning : LogLevel::Info, "endpoint-limit", {},
                         {{"endpoint", report.endpoint.view()},
                          {"limited", report.requestsPerSecond.has_value()},
@@ -262,6 +264,7 @@
     m_core.evacuateLeavingEndpoints(now);
     m_mesh.expire(now);
     m_context.promptQuarantine.expire(now);
+    updateEndpointLimits();
     m_context.repeatBudget.setInstanceCount(m_mesh.instanceCount());
     m_context.allowances.updateReservations(m_mesh, now);
     m_context.usageMeter.setClockCorrection(m_mesh.clockCorrection());
@@ -299,6 +302,17 @@
                            m_context.workMeter.enginesNeeded());
 }
 
+void ControlPlane::updateEndpointLimits()
+{
+    // Silent peers keep their shares for a while, since they may only be cut off from this
+    // instance.
+    std::vector<std::string> peers;
+    for (const auto &[name, peer] : m_mesh.peers())
+        peers.push_back(name);
+    m_context.endpointLimits.shares().update(m_settings.instance, peers, m_mesh.clockCorrection());
+    m_context.endpointLimits.expire(m_loop.now());
+}
+
 void ControlPlane::updateReaderRole()
 {
     const Instant now = m_loop.now();
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -65,6 +65,7 @@
     void expireDeadlines();
     void tick();
     void manageFleet();
+    void updateEndpointLimits();
     void updateReaderRole();
     Duration digestInterval() const;
     /// Broadcasts a digest and schedules the next one.
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -70,6 +70,7 @@
         return std::ranges::find(holders, address) != holders.end();
     });
     m_context.promptQuarantine.fillDigest(digest, now);
+    m_context.endpointLimits.fillDigest(digest, now);
     digest.sequence = ++m_digestsSent;
     m_meshSocket.send(digest, targets);
     digest.usageCounts = m_context.usageMeter.recentOwnCounts();
@@ -102,6 +103,7 @@
     m_context.enginePlacer->applyPeerDigest(*peer, now);
     m_context.servicePlacer->applyPeerDigest(*peer, now);
     m_context.promptQuarantine.applyPeerDigest(*peer);
+    m_context.endpointLimits.applyPeerDigest(*peer);
     for (const Digest::EndpointLoad &load : peer->digest.endpointLoads) {
         if (load.isSuspect)
             m_context.endpointHealth.recordPeerSuspicion(
--- a/main/monsoonsaild/metrics_page.cpp
+++ b/main/monsoonsaild/metrics_page.cpp
@@ -26,6 +26,9 @@
     metrics.setGauge("monsoonsail_endpoints_age_seconds",
                      "Time since all changes of endpoints were known",
                      toSeconds(now - context.endpointsAsOf));
+    metrics.setGauge("monsoonsail_limited_endpoints",
+                     "Endpoints that limit the requests of all instances together",
+                     static_cast<double>(context.endpointLimits.limitedCount()));
     metrics.setGauge("monsoonsail_suspect_prompt_parts",
                      "Prompt parts that were in use when endpoints ended",
                      static_cast<double>(context.promptQuarantine.suspectCount()));
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -74,6 +74,7 @@
         m_context.enginePlacer->removeEndpoint(endpoint);
         m_context.servicePlacer->removeEndpoint(endpoint);
         m_context.endpointHealth.remove(endpoint);
+        m_context.endpointLimits.remove(endpoint);
         m_context.traffic.closeConnections(endpoint);
     }
 }
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,13 @@
         EndpointHash endpoint;
         Duration age{}; ///< Time since its last answer.
     };
+    /// Request limit that the sender has read in an answer of an endpoint.
+    struct EndpointLimit
+    {
+        EndpointHash endpoint;
+        std::optional<double> perSecond; ///< Empty if the endpoint has lifted its limit.
+        Duration age{};                  ///< Time since that answer.
+    };
 
     std::string instance;
     std::string incarnation;
@@ -93,6 +101,7 @@
     std::vector<PartCrash> partCrashes;
     std::vector<SoundPart> soundParts; ///< Only parts for which crashes are reported.
     std::vector<LiveEndpoint> liveEndpoints;
+    std::vector<EndpointLimit> endpointLimits;
     /// Age of the sender's knowledge of the configuration and of the endpoints.
     Duration configurationAge{};
     Duration endpointsAge{};
--- a/servers/serving/attempt_launcher.cpp
+++ b/servers/serving/attempt_launcher.cpp
@@ -51,7 +51,8 @@
     std::vector<const Endpoint *> tried;
     for (const auto &[id, endpoint] : m_context.endpoints.all()) {
         if (endpoint.listing.service != record.service->name || !endpoint.isUsable(now)
-            || m_context.endpointHealth.closedUntil(id, now) > now)
+            || m_context.endpointHealth.closedUntil(id, now) > now
+            || !m_context.endpointLimits.mayUse(id, now))
             continue;
         const bool isRunning =
                 std::ranges::find(record.runningAttempts, id, &RunningAttempt::endpoint)
@@ -73,7 +74,8 @@
 {
     std::optional<Instant> first;
     for (const auto &[id, endpoint] : m_context.endpoints.all()) {
-        const Instant until = m_context.endpointHealth.closedUntil(id, now);
+        const Instant until = std::max(m_context.endpointHealth.closedUntil(id, now),
+                                       m_context.endpointLimits.nextUseAt(id, now));
         if (until <= now || endpoint.listing.service != record.service->name
             || !endpoint.isUsable(now))
             continue;
@@ -95,6 +97,8 @@
 void AttemptLauncher::startAttempt(RequestRecord &record, const Placement &placement, Instant now)
 {
     const Endpoint &endpoint = *m_context.endpoints.find(placement.endpoint);
+    if (!placement.isReserved)
+        m_context.endpointLimits.recordUse(endpoint.id, now);
     const AttemptNumber number = ++m_lastAttempt;
     record.runningAttempts.push_back({.number = number, .endpoint = endpoint.id, .startedAt = now});
     ++record.runs;
--- a/servers/serving/attempt_launcher.h
+++ b/servers/serving/attempt_launcher.h
@@ -22,8 +22,8 @@
     /// Chooses the endpoint for the next attempt. Endpoints that failed or declined the request are
     /// only used if no others are left.
     std::optional<Placement> place(const RequestRecord &record, Instant now) const;
-    /// Returns the earliest time at which a closed endpoint of the service accepts requests again,
-    /// if any is closed.
+    /// Returns the earliest time at which a closed or limited endpoint of the service takes a
+    /// request of this instance again, if any is closed or limited.
     std::optional<Instant> nextOpeningTime(const RequestRecord &record, Instant now) const;
     /// Chooses the endpoint at which a run continues after its KV cache has been moved.
     std::optional<Placement> placeMovedRun(const RequestRecord &record, Instant now) const;
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -5,6 +5,7 @@
 #include "core/random_source.h"
 #include "servers/allowance/allowance_ledger.h"
 #include "servers/endpoints/endpoint_health_tracker.h"
+#include "servers/endpoints/endpoint_limits.h"
 #include "servers/endpoints/endpoint_registry.h"
 #include "servers/fleet/work_meter.h"
 #include "servers/metering/usage_meter.h"
@@ -51,6 +52,7 @@
     RandomSource random;
     EndpointRegistry endpoints;
     EndpointHealthTracker endpointHealth;
+    EndpointLimits endpointLimits;
     PromptQuarantine promptQuarantine;
     WorkMeter workMeter;
     std::unique_ptr<Placer> enginePlacer;
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -61,7 +61,8 @@
     if (!placement) {
         const auto openingTime = m_launcher.nextOpeningTime(record, now);
         if (openingTime && !record.mayHaveRun && !record.isStreaming)
-            refuse(record, ErrorKind::Overloaded, openingTime, "all endpoints are closed", now);
+            refuse(record, ErrorKind::Overloaded, openingTime,
+                   "all endpoints are closed or limited", now);
         else
             giveUp(record, ErrorKind::NoEndpoint, "no endpoint", now);
         return;
--- a/servers/serving/serving_core_moves.cpp
+++ b/servers/serving/serving_core_moves.cpp
@@ -164,6 +164,7 @@
     const Endpoint *source = m_context.endpoints.find(attempt.endpoint);
     if (!target || source == nullptr || (!attempt.hasEvents && isQuarantined(record)))
         return;
+    m_context.endpointLimits.recordUse(target->endpoint, now);
     attempt.moveState = RunningAttempt::MoveState::Requested;
     ++attempt.moveRequests;
     attempt.moveTarget = target->endpoint;
@@ -254,7 +255,10 @@
     }
     // The continued run counts as the same run.
     --record.runs;
-    m_launcher.startAttempt(record, {.endpoint = attempt.moveTarget, .cache = attempt.movedCache},
+    m_launcher.startAttempt(record,
+                            {.endpoint = attempt.moveTarget,
+                             .cache = attempt.movedCache,
+                             .isReserved = attempt.moveTarget != attempt.endpoint},
                             now);
     reschedule(record);
 }
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -53,6 +53,10 @@
                                  .age = milliseconds(700)}},
                 .soundParts = {{.part = 0x99, .age = milliseconds(20)}},
                 .liveEndpoints = {{.endpoint = EndpointId("i-3/17"), .age = milliseconds(10)}},
+                .endpointLimits = {{.endpoint = EndpointId("i-4/17"),
+                                    .perSecond = 1.5,
+                                    .age = milliseconds(60)},
+                                   {.endpoint = EndpointId("i-5/17")}},
                 .configurationAge = milliseconds(40),
                 .endpointsAge = milliseconds(30),
                 .peerAddresses = {"10.0.0.8:7600"}};
@@ -72,6 +76,8 @@
         CPPUNIT_ASSERT(received->endpointsAge == sent.endpointsAge);
         CPPUNIT_ASSERT_EQUAL(sent.partCrashes.at(0).part, received->partCrashes.at(0).part);
         CPPUNIT_ASSERT(received->partCrashes.at(0).endpoint == sent.partCrashes.at(0).endpoint);
+        CPPUNIT_ASSERT(received->endpointLimits.at(0).perSecond == 1.5);
+        CPPUNIT_ASSERT(!received->endpointLimits.at(1).perSecond);
         CPPUNIT_ASSERT(received->soundParts.at(0).age == milliseconds(20));
         CPPUNIT_ASSERT(received->liveEndpoints.at(0).endpoint == EndpointId("i-3/17"));
         CPPUNIT_ASSERT(received->peerAddresses == sent.peerAddresses);
@@ -88,8 +94,8 @@
     {
         std::string bytes = encodeDigest(digest());
         // The first byte is the tag of the layout field, the second its value.
-        CPPUNIT_ASSERT_EQUAL('\x06', bytes.at(1));
-        bytes.at(1) = '\x05';
+        CPPUNIT_ASSERT_EQUAL('\x07', bytes.at(1));
+        bytes.at(1) = '\x06';
         CPPUNIT_ASSERT(!decodeDigest(bytes));
     }
 
