Count status checks against the request limits of endpoints

A check is counted now, and left out if this instance has no share; silence then shows as a stall after 2.5 s without an event.

Evidence: EndpointLimitsTest::statusChecksKeepTheLimit failed before (the engine was checked and taken for silent within 1.5 s); 194 tests passed.

--- a/servers/serving/serving_core_moves.cpp
+++ b/servers/serving/serving_core_moves.cpp
@@ -34,6 +34,12 @@
             handleEndpointCheckEnd({.endpoint = id}, now);
             continue;
         }
+        // A check is a request as well. Without one, silence is noticed as a stall, a little later.
+        if (!m_context.endpointLimits.mayUse(id, now)) {
+            m_context.endpointHealth.recordCheckEnd(id, true, now);
+            continue;
+        }
+        m_context.endpointLimits.recordUse(id, now);
         m_context.traffic.checkEndpoint({.endpoint = id,
                                          .address = endpoint->listing.address,
                                          .deadline = now + statusCheckTimeout});
--- a/tests/servers/endpoint_limits_test.cpp
+++ b/tests/servers/endpoint_limits_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(otherIncarnationHasNoLimit);
     CPPUNIT_TEST(serviceOfLimitedEndpointsRefusesWithRetryTime);
     CPPUNIT_TEST(repeatsAndHedgesKeepTheLimit);
+    CPPUNIT_TEST(statusChecksKeepTheLimit);
     CPPUNIT_TEST_SUITE_END();
 
     const EndpointId m_endpoint{"e/1"};
@@ -189,6 +190,26 @@
         CPPUNIT_ASSERT(retryAt > fixture.now && retryAt <= fixture.now + seconds(1));
     }
 
+    void statusChecksKeepTheLimit()
+    {
+        ServingFixture fixture;
+        const RequestNumber request = fixture.arrive("/review/1");
+        const EndpointId endpoint = fixture.latestAttempt(request).endpoint;
+        for (const std::string peer : {"e0", "e1", "e2", "e3"}) {
+            fixture.context.endpointLimits.record({.endpoint = endpointId(peer, 1),
+                                                   .requestsPerSecond = 0,
+                                                   .receivedAt = fixture.now});
+        }
+        fixture.context.endpointLimits.recordUse(endpoint, fixture.now);
+        fixture.progress(request, 1, 1);
+        fixture.unresponsive.insert(endpoint);
+        fixture.advance(milliseconds(1500));
+        CPPUNIT_ASSERT(fixture.log.lastTexts.count("endpoint-silent") == 0);
+        fixture.advance(milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::string("no events"),
+                             fixture.log.lastTexts["endpoint-silent"]["reason"]);
+    }
+
     void repeatsAndHedgesKeepTheLimit()
     {
         ServingFixture fixture;
