Take any later answer as a sign that an endpoint has not ended

Evidence against prompt parts was only withdrawn when the endpoint went on with a stream. An endpoint that lost one connection and then declined or answered other requests still counted as ended.

Evidence: PromptQuarantineTest::endpointThatDeclinesLaterHasNotEnded failed before (2 suspects left); 195 tests of servers passed.

--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -182,6 +182,8 @@
                          {"had_events", attempt.hasEvents},
                          {"shared_parts", parts}});
     m_context.metrics.recordAttempt(record.service->name.view(), end.result);
+    if (isSuccess || end.result == AttemptResult::Answered || end.result == AttemptResult::Declined)
+        m_context.promptQuarantine.recordActivity(attempt.endpoint, now);
     if (end.closedUntil && *end.closedUntil > now) {
         m_context.log.write(
                 LogLevel::Info, "endpoint-closed", record.arrival.callerId,
--- a/tests/servers/prompt_quarantine_test.cpp
+++ b/tests/servers/prompt_quarantine_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(sharedPartIsNotBlamedForTheLossOfAZone);
     CPPUNIT_TEST(soundPartIsNotBlamedForChanceCrashes);
     CPPUNIT_TEST(lostAnswersOfLivingEndpointsAreNoCrashes);
+    CPPUNIT_TEST(endpointThatDeclinesLaterHasNotEnded);
     CPPUNIT_TEST(crashesSeenByDifferentInstancesAddUp);
     CPPUNIT_TEST(answerElsewhereClearsThePart);
     CPPUNIT_TEST(restartedInstanceLearnsThePartFromAnyPeer);
@@ -290,6 +291,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.traffic.starts.size());
     }
 
+    void endpointThatDeclinesLaterHasNotEnded()
+    {
+        ServingFixture fixture;
+        const RequestNumber lost = fixture.arrive("/plan/1", "key", prompt({1, 20, 7}));
+        const EndpointId endpoint = fixture.latestAttempt(lost).endpoint;
+        fixture.core.handleAttemptEnd({.request = lost,
+                                       .attempt = fixture.latestAttempt(lost).attempt,
+                                       .result = AttemptResult::Interrupted,
+                                       .wasDisconnected = true},
+                                      fixture.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.context.promptQuarantine.suspectCount());
+        fixture.now += seconds(1);
+        RequestNumber next = 0;
+        do {
+            next = fixture.arrive("/plan/2");
+        } while (fixture.latestAttempt(next).endpoint != endpoint);
+        fixture.endAttempt(next, AttemptResult::Declined, 503);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.context.promptQuarantine.suspectCount());
+    }
+
     void endOfALeavingEndpointIsNoEvidence()
     {
         ServingFixture fixture;
