--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -25,9 +25,6 @@
 /// Part of the response goal after which a hedge, a second attempt beside the first, is started.
 constexpr int hedgeDelayPercent = 40;
 constexpr int firstServerErrorStatus = 500;
-/// An endpoint that has written events of an answer for this long doesn't end because of the
-/// prompt.
-constexpr Duration answerBeginTime = std::chrono::milliseconds(200);
 
 std::string_view accountName(const RequestRecord &record)
 {
@@ -125,12 +122,7 @@
                                                &RunningAttempt::number);
         if (attempt == record.runningAttempts.end())
             continue;
-        if (!std::exchange(attempt->hasEvents, true))
-            attempt->firstEventAt = progress.firstEventAt;
-        const bool isSound = progress.lastEventAt >= attempt->firstEventAt + answerBeginTime;
-        if (isSound && !std::exchange(attempt->isSoundRun, true))
-            recordSoundRun(record, now);
-        m_context.promptQuarantine.recordActivity(attempt->endpoint, progress.lastEventAt);
+        recordEvents(record, *attempt, progress, now);
         m_context.endpointHealth.recordStreamEvent(progress.attempt, progress.lastEventAt);
         m_context.placerFor(*record.service).recordProgress(progress.attempt, progress.events, now);
     }
@@ -240,32 +232,6 @@
     erase(record);
 }
 
-void ServingCore::recordSoundRun(const RequestRecord &record, Instant now)
-{
-    m_context.promptQuarantine.recordSoundRun(record.service->name, record.sharedPromptParts(),
-                                              now);
-}
-
-void ServingCore::recordCrash(const RequestRecord &record, const RunningAttempt &attempt,
-                              Instant now)
-{
-    const Endpoint *endpoint = m_context.endpoints.find(attempt.endpoint);
-    // An end that was announced, or that the list already knows, has nothing to do with the
-    // request.
-    const bool isUnexpected = endpoint != nullptr && endpoint->state == EndpointState::Ready;
-    const bool hasBegun = attempt.hasEvents && attempt.firstEventAt + answerBeginTime <= now;
-    if (!isUnexpected || hasBegun)
-        return;
-    m_context.promptQuarantine.recordCrash(record.service->name, record.sharedPromptParts(),
-                                           attempt.endpoint, now);
-}
-
-bool ServingCore::isQuarantined(const RequestRecord &record) const
-{
-    return m_context.promptQuarantine.find(record.service->name, record.sharedPromptParts())
-            .has_value();
-}
-
 void ServingCore::handleFailure(RequestRecord &record, const RunningAttempt &attempt,
                                 const AttemptEnd &end, Instant now)
 {
--- a/servers/serving/serving_core.h
+++ b/servers/serving/serving_core.h
@@ -64,6 +64,9 @@
     void handleSuccess(RequestRecord &record, const AttemptEnd &end, Instant now);
     void handleFailure(RequestRecord &record, const RunningAttempt &attempt, const AttemptEnd &end,
                        Instant now);
+    void recordEvents(const RequestRecord &record, RunningAttempt &attempt,
+                      const StreamProgress &progress, Instant now);
+    /// Records that an endpoint went on to answer the request.
     void recordSoundRun(const RequestRecord &record, Instant now);
     /// Records that an endpoint closed the connection of the attempt, if it had hardly answered.
     void recordCrash(const RequestRecord &record, const RunningAttempt &attempt, Instant now);
