--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -1,9 +1,8 @@
 #include "drivers/mesh/digest_codec.h"
 
+#include "drivers/mesh/digest_records.h"
 #include "drivers/mesh/wire_fields.h"
 
-#include <cmath>
-
 namespace monsoonsail {
 
 namespace {
@@ -35,15 +34,6 @@
     EndpointLimit = 24,
 };
 
-/// Numbers of the fields of the nested messages on the wire, in the order in which they are
-/// written.
-enum class NestedField : protozero::pbf_tag_type {
-    First = 1,
-    Second = 2,
-    Third = 3,
-    Fourth = 4
-};
-
 enum Flag : std::uint32_t {
     IsStopping = 1,
     RefusesNewRequests = 2,
@@ -53,12 +43,6 @@
 
 using Writer = protozero::pbf_writer;
 using Reader = protozero::pbf_message<DigestField>;
-using NestedReader = protozero::pbf_message<NestedField>;
-
-std::uint64_t rounded(double amount)
-{
-    return amount <= 0 ? 0 : static_cast<std::uint64_t>(std::llround(amount));
-}
 
 std::uint32_t flagsOf(const Digest &digest)
 {
@@ -67,197 +51,6 @@
             | (digest.isReader ? Flag::IsReader : 0U) | (digest.isComplete ? Flag::IsComplete : 0U);
 }
 
-void writeLoad(const Digest::EndpointLoad &load, Writer writer)
-{
-    writer.add_fixed32(tag(NestedField::First), load.endpoint.value());
-    writer.add_uint32(tag(NestedField::Second), load.running);
-    if (load.promptTokens > 0)
-        writer.add_uint32(tag(NestedField::Third), load.promptTokens);
-    if (load.isSuspect)
-        writer.add_bool(tag(NestedField::Fourth), true);
-}
-
-Digest::EndpointLoad readLoad(NestedReader reader)
-{
-    Digest::EndpointLoad load;
-    while (reader.next()) {
-        switch (reader.tag_and_type()) {
-        case fixed32(NestedField::First):
-            load.endpoint = EndpointHash(reader.get_fixed32());
-            break;
-        case varint(NestedField::Second):
-            load.running = reader.get_uint32();
-            break;
-        case varint(NestedField::Third):
-            load.promptTokens = reader.get_uint32();
-            break;
-        case varint(NestedField::Fourth):
-            load.isSuspect = reader.get_bool();
-            break;
-        default:
-            reader.skip();
-        }
-    }
-    return load;
-}
-
-/// Writes an account's use or the work of a service, which both consist of the hash of a name and
-/// two amounts.
-void writeAmounts(std::uint64_t nameHash, double first, double second, Writer writer)
-{
-    writer.add_fixed64(tag(NestedField::First), nameHash);
-    writer.add_uint64(tag(NestedField::Second), rounded(first));
-    writer.add_uint64(tag(NestedField::Third), rounded(second));
-}
-
-struct Amounts
-{
-    std::uint64_t nameHash = 0;
-    double first = 0;
-    double second = 0;
-};
-
-Amounts readAmounts(NestedReader reader)
-{
-    Amounts amounts;
-    while (reader.next()) {
-        switch (reader.tag_and_type()) {
-        case fixed64(NestedField::First):
-            amounts.nameHash = reader.get_fixed64();
-            break;
-        case varint(NestedField::Second):
-            amounts.first = static_cast<double>(reader.get_uint64());
-            break;
-        case varint(NestedField::Third):
-            amounts.second = static_cast<double>(reader.get_uint64());
-            break;
-        default:
-            reader.skip();
-        }
-    }
-    return amounts;
-}
-
-void writeCount(const Digest::UsageCount &count, Writer writer)
-{
-    writer.add_uint64(tag(NestedField::First), count.window);
-    writer.add_string(tag(NestedField::Second), count.account.value());
-    writer.add_uint32(tag(NestedField::Third), count.requests);
-}
-
-Digest::UsageCount readCount(NestedReader reader)
-{
-    Digest::UsageCount count;
-    while (reader.next()) {
-        switch (reader.tag_and_type()) {
-        case varint(NestedField::First):
-            count.window = reader.get_uint64();
-            break;
-        case lengthDelimited(NestedField::Second):
-            count.account = AccountId(reader.get_string());
-            break;
-        case varint(NestedField::Third):
-            count.requests = reader.get_uint32();
-            break;
-        default:
-            reader.skip();
-        }
-    }
-    return count;
-}
-
-void writePartCrash(const Digest::PartCrash &crash, Writer writer)
-{
-    writer.add_fixed64(tag(NestedField::First), crash.part);
-    writer.add_fixed32(tag(NestedField::Second), crash.endpoint.value());
-    writer.add_uint32(tag(NestedField::Third), crash.position);
-    writer.add_int64(tag(NestedField::Fourth), crash.age.count());
-}
-
-Digest::PartCrash readPartCrash(NestedReader reader)
-{
-    Digest::PartCrash crash;
-    while (reader.next()) {
-        switch (reader.tag_and_type()) {
-        case fixed64(NestedField::First):
-            crash.part = reader.get_fixed64();
-            break;
-        case fixed32(NestedField::Second):
-            crash.endpoint = EndpointHash(reader.get_fixed32());
-            break;
-        case varint(NestedField::Third):
-            crash.position = reader.get_uint32();
-            break;
-        case varint(NestedField::Fourth):
-            crash.age = Duration(reader.get_int64());
-            break;
-        default:
-            reader.skip();
-        }
-    }
-    return crash;
-}
-
-/// Writes the last use of a prompt part or of an endpoint, which both consist of a hash and an age.
-void writeLastUse(std::uint64_t hash, Duration age, Writer writer)
-{
-    writer.add_fixed64(tag(NestedField::First), hash);
-    writer.add_int64(tag(NestedField::Second), age.count());
-}
-
-struct LastUse
-{
-    std::uint64_t hash = 0;
-    Duration age{};
-};
-
-LastUse readLastUse(NestedReader reader)
-{
-    LastUse use;
-    while (reader.next()) {
-        switch (reader.tag_and_type()) {
-        case fixed64(NestedField::First):
-            use.hash = reader.get_fixed64();
-            break;
-        case varint(NestedField::Second):
-            use.age = Duration(reader.get_int64());
-            break;
-        default:
-            reader.skip();
-        }
-    }
-    return use;
-}
-
-void writeEndpointLimit(const Digest::EndpointLimit &limit, Writer writer)
-{
-    writer.add_fixed32(tag(NestedField::First), limit.endpoint.value());
-    writer.add_int64(tag(NestedField::Second), limit.age.count());
-    if (limit.perSecond)
-        writer.add_double(tag(NestedField::Third), *limit.perSecond);
-}
-
-Digest::EndpointLimit readEndpointLimit(NestedReader reader)
-{
-    Digest::EndpointLimit limit;
-    while (reader.next()) {
-        switch (reader.tag_and_type()) {
-        case fixed32(NestedField::First):
-            limit.endpoint = EndpointHash(reader.get_fixed32());
-            break;
-        case varint(NestedField::Second):
-            limit.age = Duration(reader.get_int64());
-            break;
-        case fixed64(NestedField::Third):
-            limit.perSecond = reader.get_double();
-            break;
-        default:
-            reader.skip();
-        }
-    }
-    return limit;
-}
-
 void readFlags(std::uint32_t flags, Digest &digest)
 {
     digest.isStopping = (flags & Flag::IsStopping) != 0;
