Don't send a usage report whose holder was frozen on the way to it

Cause: a report is the last of several steps (read, fix in the store, report), and the right to act was only taken at the periodic advance(). After a freeze the store's answers to the earlier steps arrive before the next tick, and the report went out under the number of the time before the freeze.

Change: the right to act is asked for at the moment of the report.

Evidence: DutyTest::holderFrozenBetweenTwoStepsOfAReportDoesNotSendIt failed before (5 reports for 4); 196 tests of servers passed.

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -79,6 +79,7 @@
               {.settleDelay = usageSettleDelay,
                .reportDeadline = settings.limits.usageReportDeadline},
               m_context.usageMeter, m_storeClient, m_dutyClient, [this] { return m_loop.now(); },
+              [this] { return m_dutyElection.fencingNumber(); },
               [this] { m_dutyElection.onFenced(); }, m_decisionLog)
     , m_fleetManager(
               std::make_unique<SpreadFleetPlanner>(), m_context.endpoints, m_dutyClient,
@@ -272,7 +273,7 @@
     sendBulletin();
     m_instanceDiscovery.advance();
     m_dutyElection.advance(m_mesh);
-    m_usageReporter.advance(m_dutyElection.fencingNumber(), m_mesh);
+    m_usageReporter.advance(m_mesh);
     manageFleet();
     // Readers write the journal, since they are known within a second of a start, whereas the
     // election of the holder of the duties takes seconds.
--- a/servers/duties/usage_reporter.cpp
+++ b/servers/duties/usage_reporter.cpp
@@ -23,6 +23,7 @@
 
 UsageReporter::UsageReporter(std::string incarnation, Timing timing, UsageMeter &meter,
                              RecordLog &log, DutyPort &duties, std::function<Instant()> now,
+                             std::function<std::uint64_t()> fencingNumber,
                              std::function<void()> onFenced, DecisionLog &decisions)
     : m_incarnation(std::move(incarnation))
     , m_timing(timing)
@@ -30,15 +31,17 @@
     , m_log(log)
     , m_duties(duties)
     , m_now(std::move(now))
+    , m_currentFencingNumber(std::move(fencingNumber))
     , m_onFenced(std::move(onFenced))
     , m_decisions(decisions)
     , m_firstWindow(meter.windowAt(m_now()))
     , m_lastStored(m_firstWindow - 1)
 { }
 
-void UsageReporter::advance(std::uint64_t fencingNumber, const Mesh &mesh)
+void UsageReporter::advance(const Mesh &mesh)
 {
     const Instant now = m_now();
+    const std::uint64_t fencingNumber = m_currentFencingNumber();
     const WindowNumber current = m_meter.windowAt(now);
     // With few instances, each stores its counts for the holder to read. With many, the holder gets
     // them from digests; what it misses from one instance is within the tolerance of a report.
@@ -198,7 +201,8 @@
 
 void UsageReporter::reportWindow(WindowNumber window, const UsageCounts &counts)
 {
-    if (m_fencingNumber == 0)
+    // The instance may have been frozen since the last advance(), and a successor may act already.
+    if (m_fencingNumber == 0 || m_currentFencingNumber() != m_fencingNumber)
         return;
     m_step = Step::Reporting;
     m_duties.reportUsage(m_fencingNumber, window, counts, [this, window](DutyOutcome outcome) {
--- a/servers/duties/usage_reporter.h
+++ b/servers/duties/usage_reporter.h
@@ -29,15 +29,16 @@
         Duration reportDeadline{};
     };
 
-    /// `incarnation` is that of this process. References must outlive the reporter.
+    /// `incarnation` is that of this process. `fencingNumber` returns 0 while this instance does
+    /// not hold the duties or may not act. References must outlive the reporter.
     UsageReporter(std::string incarnation, Timing timing, UsageMeter &meter, RecordLog &log,
-                  DutyPort &duties, std::function<Instant()> now, std::function<void()> onFenced,
+                  DutyPort &duties, std::function<Instant()> now,
+                  std::function<std::uint64_t()> fencingNumber, std::function<void()> onFenced,
                   DecisionLog &decisions);
 
-    /// Stores own counts of windows that have ended and takes the next step of reporting.
-    /// `fencingNumber` is 0 while this instance does not hold the duties or may not act. Call
+    /// Stores own counts of windows that have ended and takes the next step of reporting. Call
     /// periodically.
-    void advance(std::uint64_t fencingNumber, const Mesh &mesh);
+    void advance(const Mesh &mesh);
     /// Stores the counts of the current window now, before the process ends.
     void flush();
 
@@ -71,10 +72,11 @@
     RecordLog &m_log;
     DutyPort &m_duties;
     const std::function<Instant()> m_now;
+    const std::function<std::uint64_t()> m_currentFencingNumber;
     const std::function<void()> m_onFenced;
     DecisionLog &m_decisions;
 
-    std::uint64_t m_fencingNumber = 0;
+    std::uint64_t m_fencingNumber = 0; ///< At the last advance().
     Step m_step = Step::Idle;
     Instant m_nextStepAt;
     WindowNumber m_firstWindow; ///< Window in which this process started.
--- a/tests/servers/duty_test.cpp
+++ b/tests/servers/duty_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(holderAnnouncesItselfBeforeItActs);
     CPPUNIT_TEST(holderThatIsCutOffStopsBeforeItsSuccessorActs);
     CPPUNIT_TEST(frozenHolderDoesNotActWhenItResumes);
+    CPPUNIT_TEST(holderFrozenBetweenTwoStepsOfAReportDoesNotSendIt);
     CPPUNIT_TEST(holderThatCannotReachTheStoreStopsActing);
     CPPUNIT_TEST(restartedHolderClaimsAgain);
     CPPUNIT_TEST(claimWithLostAnswerIsNotUsed);
@@ -122,6 +123,7 @@
                 incarnation,
                 UsageReporter::Timing{.settleDelay = seconds(1), .reportDeadline = seconds(10)},
                 *instance.meter, m_store, m_duties, [this] { return m_now; },
+                [&instance] { return instance.election->fencingNumber(); },
                 [&instance] { instance.election->onFenced(); }, m_log);
     }
 
@@ -159,7 +161,7 @@
                     m_allowedActions.push_back(
                             {.at = m_now, .instance = instance->name, .fencingNumber = number});
                 }
-                instance->reporter->advance(instance->election->fencingNumber(), *instance->mesh);
+                instance->reporter->advance(*instance->mesh);
             }
             m_store.answerPending();
         }
@@ -239,7 +241,7 @@
         Instance &second = holder();
         first.isAlive = true;
         first.meter->countRequest(AccountId("club"), m_now - windowLength);
-        first.reporter->advance(first.election->fencingNumber(), *first.mesh);
+        first.reporter->advance(*first.mesh);
         m_store.answerPending();
         advance(seconds(10));
         CPPUNIT_ASSERT(&holder() == &second);
@@ -321,6 +323,25 @@
         checkOneInstanceActsAtATime();
     }
 
+    // The store's answers to the steps before the report arrive when the holder resumes, before its
+    // next tick.
+    void holderFrozenBetweenTwoStepsOfAReportDoesNotSendIt()
+    {
+        restartWithoutFencingChecks();
+        Instance &first = holder();
+        const int reads = m_store.reads;
+        while (m_store.reads == reads) {
+            m_store.answerPending();
+            m_now += milliseconds(100);
+            first.election->advance(*first.mesh);
+            first.reporter->advance(*first.mesh);
+        }
+        const std::size_t reports = m_duties.reports.size();
+        m_now += seconds(9);
+        m_store.answerPending();
+        CPPUNIT_ASSERT_EQUAL(reports, m_duties.reports.size());
+    }
+
     void holderThatCannotReachTheStoreStopsActing()
     {
         restartWithoutFencingChecks();
