Leave out checks of the quarantine that runs on the move never meet

Runs are moved only after their first event; those without one are restarted, which mayRetry() already refuses for quarantined prompts. The two checks in the moves could not apply. PromptQuarantineTest::quarantinedRunIsNotRestartedOffA- LeavingEngine shows the restart refused, and a sound one going on.

--- a/servers/serving/serving_core_moves.cpp
+++ b/servers/serving/serving_core_moves.cpp
@@ -168,7 +168,7 @@
 {
     const std::optional<Placement> target = m_launcher.placeMovedRun(record, now);
     const Endpoint *source = m_context.endpoints.find(attempt.endpoint);
-    if (!target || source == nullptr || (!attempt.hasEvents && isQuarantined(record)))
+    if (!target || source == nullptr)
         return;
     m_context.endpointLimits.recordUse(target->endpoint, now);
     attempt.moveState = RunningAttempt::MoveState::Requested;
@@ -248,14 +248,12 @@
         giveUp(record, ErrorKind::NoEndpoint, "the target of the move is no longer known", now);
         return;
     }
-    const bool isClosed = !m_context.endpointHealth.admitUnavoidableRun(attempt.moveTarget, now);
-    if (isClosed || (!attempt.hasEvents && isQuarantined(record))) {
+    if (!m_context.endpointHealth.admitUnavoidableRun(attempt.moveTarget, now)) {
         handleFailure(record, attempt,
                       {.request = record.arrival.number,
                        .attempt = number,
                        .result = AttemptResult::Interrupted,
-                       .reason = isClosed ? "the target of the move is closed"
-                                          : "the prompt is quarantined"},
+                       .reason = "the target of the move is closed"},
                       now);
         return;
     }
--- a/tests/servers/prompt_quarantine_test.cpp
+++ b/tests/servers/prompt_quarantine_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(evidenceStaysBoundedUnderManyNames);
     CPPUNIT_TEST(refusedRequestIsNeitherSentNorCharged);
     CPPUNIT_TEST(crashingRequestIsNotRepeatedWithoutEnd);
+    CPPUNIT_TEST(quarantinedRunIsNotRestartedOffALeavingEngine);
     CPPUNIT_TEST(unrelatedRunsOfCrashedEndpointsAreRepeated);
     CPPUNIT_TEST(endOfALeavingEndpointIsNoEvidence);
     CPPUNIT_TEST_SUITE_END();
@@ -281,6 +282,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.traffic.starts.size());
     }
 
+    void quarantinedRunIsNotRestartedOffALeavingEngine()
+    {
+        ServingFixture fixture;
+        const RequestNumber request = fixture.arrive("/review/1", "key", prompt({1, 666, 5}));
+        const RequestNumber sound = fixture.arrive("/review/1", "key", prompt({1, 6}));
+        for (unsigned count = 0; count < 3; ++count)
+            crash(fixture.context.promptQuarantine, {666});
+        for (const RequestNumber number : {request, sound}) {
+            const EndpointId endpoint = fixture.latestAttempt(number).endpoint;
+            fixture.context.endpoints.markLeaving(endpoint, fixture.now, fixture.now);
+        }
+        fixture.advance(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.traffic.starts.size());
+        CPPUNIT_ASSERT_EQUAL(sound, fixture.traffic.starts.back().request);
+    }
+
     void unrelatedRunsOfCrashedEndpointsAreRepeated()
     {
         ServingFixture fixture;
