--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -64,7 +64,7 @@
     /// Returns the instant before which the endpoint, which declined, accepts no further request
     /// from this instance.
     std::optional<Instant> endpointClosedUntil() const;
-    /// Whether the endpoint closed or reset the connection before the response was complete.
+    /// Whether the endpoint closed or reset the connection.
     bool wasDisconnected() const { return m_wasDisconnected; }
     bool connectionReused() const { return m_connectionReused; }
     /// Releases the connection if the response is complete and another request may follow on it;
--- a/servers/endpoints/endpoint_limits.cpp
+++ b/servers/endpoints/endpoint_limits.cpp
@@ -46,7 +46,8 @@
             continue;
         limit.perSecond = reported.perSecond;
         limit.readAt = readAt;
-        // Only readers pass a limit on. Reports that came back would seem newer each time.
+        // Only instances that read a limit in an answer pass it on. With each further hop it would
+        // seem newer than it is.
         limit.isOwn = false;
     }
 }
--- a/servers/serving/attempt_end.h
+++ b/servers/serving/attempt_end.h
@@ -33,7 +33,8 @@
     std::string reason;               ///< Cause for the log; empty if answered or streamed.
     /// Set if the endpoint declined and asked this instance to send it no requests until then.
     std::optional<Instant> closedUntil;
-    /// Whether the endpoint closed or reset the connection before its answer was complete.
+    /// Whether the endpoint closed or reset the connection, as opposed to a timeout or bytes that
+    /// are no answer.
     bool wasDisconnected = false;
     Instant sentAt; ///< When the request was sent; unset if it was not.
     bool connectionReused = false;
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -174,7 +174,9 @@
                          {"had_events", attempt.hasEvents},
                          {"shared_parts", parts}});
     m_context.metrics.recordAttempt(record.service->name.view(), end.result);
-    if (isSuccess || end.result == AttemptResult::Answered || end.result == AttemptResult::Declined)
+    const bool hasAnswered = end.result == AttemptResult::Answered
+            || end.result == AttemptResult::Streamed || end.result == AttemptResult::Declined;
+    if (hasAnswered)
         m_context.promptQuarantine.recordActivity(attempt.endpoint, now);
     if (end.closedUntil && *end.closedUntil > now) {
         m_context.log.write(
