Keep old evidence about prompt parts out of most digests

Cause: after a zone is lost, evidence about up to 64 ends and 32 sound parts stayed in every digest of every instance for ten minutes.

Change: evidence is in each digest for 3 s, and after that in complete digests (one in eight, and whenever an instance appears), there without single ends of parts that are known to be sound.

Evidence: PromptQuarantineTest::oldEvidenceIsInCompleteDigestsOnly fails without the change; 198 tests of servers passed, PromptCrashTest passed.

--- a/servers/quarantine/prompt_quarantine.cpp
+++ b/servers/quarantine/prompt_quarantine.cpp
@@ -28,6 +28,9 @@
 constexpr Duration verdictLifetime = std::chrono::hours(2);
 constexpr Duration liveReportTime = std::chrono::seconds(60);
 constexpr Duration outdatedReportTime = std::chrono::seconds(3);
+/// Evidence is in each digest for this time, so that a few of them may get lost, and only in
+/// complete ones after it.
+constexpr Duration newEvidenceTime = std::chrono::seconds(3);
 constexpr Duration expiryInterval = std::chrono::seconds(1);
 
 // Parts are named by callers, so their number is bounded everywhere.
@@ -284,6 +287,14 @@
         return std::tuple(m_verdicts.contains(entry->first), entry->second.crashes.size(),
                           lastCrash(entry->second.crashes));
     });
+    const auto isNew = [now](Instant at) { return at + newEvidenceTime > now; };
+    // A zone that is lost leaves single ends for many parts that are known to be sound.
+    const auto isDue = [&](const Suspects::value_type &entry) {
+        const auto &crashes = entry.second.crashes;
+        const bool isRelevant = crashes.size() > 1 || !m_soundRuns.lastUse(entry.first);
+        return isNew(lastCrash(crashes)) || (digest.isComplete && isRelevant);
+    };
+    std::erase_if(suspects, [&](const auto *entry) { return !isDue(*entry); });
     for (const auto *entry : suspects) {
         const auto &[part, suspect] = *entry;
         std::vector<std::pair<Instant, EndpointHash>> newest;
@@ -311,7 +322,7 @@
             addSoundPart(entry->first);
     }
     for (const auto &[endpoint, at] : m_liveEndpoints) {
-        if (digest.liveEndpoints.size() < maxClearancesInDigest)
+        if ((isNew(at) || digest.isComplete) && digest.liveEndpoints.size() < maxClearancesInDigest)
             digest.liveEndpoints.push_back({.endpoint = endpoint, .age = now - at});
     }
 }
--- a/tests/servers/prompt_quarantine_test.cpp
+++ b/tests/servers/prompt_quarantine_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(partIsRefusedForTheServiceOnlyWhoseEndpointsCrash);
     CPPUNIT_TEST(singleTrialIsMadeByOneInstance);
     CPPUNIT_TEST(evidenceStaysBoundedUnderManyNames);
+    CPPUNIT_TEST(oldEvidenceIsInCompleteDigestsOnly);
     CPPUNIT_TEST(refusedRequestIsNeitherSentNorCharged);
     CPPUNIT_TEST(crashingRequestIsNotRepeatedWithoutEnd);
     CPPUNIT_TEST(quarantinedRunIsNotRestartedOffALeavingEngine);
@@ -237,6 +238,24 @@
         CPPUNIT_ASSERT(isRefused(m_peer, {666}));
     }
 
+    void oldEvidenceIsInCompleteDigestsOnly()
+    {
+        for (unsigned count = 0; count < 3; ++count)
+            crash(m_quarantine, {1, 666});
+        m_quarantine.recordSoundRun(service, prompt({40}), m_now);
+        m_now += milliseconds(1);
+        crash(m_quarantine, {40});
+        const auto recordsIn = [this](bool isComplete) {
+            Digest digest{.isComplete = isComplete};
+            m_quarantine.fillDigest(digest, m_now);
+            return digest.partCrashes.size() + digest.soundParts.size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, recordsIn(false));
+        m_now += seconds(10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, recordsIn(false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, recordsIn(true));
+    }
+
     void refusedRequestIsNeitherSentNorCharged()
     {
         ServingFixture fixture;
