Move the exchange of endpoint updates out of the control plane

Reading the list of endpoints, the role of reader and bulletins are now in EndpointExchange, in servers/, behind a port for sending bulletins. So a test can play dozens of instances in virtual time, with loss, delays, cuts, freezes and restarts, which the control plane with its sockets can't.

--- a/drivers/mesh/mesh_socket.h
+++ b/drivers/mesh/mesh_socket.h
@@ -5,6 +5,7 @@
 #include "drivers/net/socket.h"
 #include "servers/mesh/bulletin.h"
 #include "servers/mesh/digest.h"
+#include "servers/ports/bulletin_port.h"
 
 #include <cstdint>
 #include <span>
@@ -25,7 +26,7 @@
 };
 
 /// Sends and receives the messages of the mesh as UDP datagrams.
-class MeshSocket : public DescriptorHandler
+class MeshSocket : public DescriptorHandler, public BulletinPort
 {
 public:
     /// Throws std::system_error if `address` ("IP:port") can't be bound. The references must
@@ -36,7 +37,7 @@
     MeshSocket &operator=(const MeshSocket &) = delete;
 
     void send(const Digest &digest, std::span<const std::string> targets);
-    void send(const Bulletin &bulletin, std::span<const std::string> targets);
+    void send(const Bulletin &bulletin, std::span<const std::string> targets) override;
     void onReady(DescriptorState state) override;
 
     /// Bytes of datagrams sent and received since construction.
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -1,7 +1,6 @@
 #include "main/monsoonsaild/control_plane.h"
 
 #include "main/monsoonsaild/metrics_page.h"
-#include "servers/endpoints/endpoint_update.h"
 #include "servers/fleet/spread_fleet_planner.h"
 
 #include <algorithm>
@@ -17,20 +16,13 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
-/// Instances that are not readers of the store check it for missed changes at this interval.
-constexpr Duration passiveInterval = std::chrono::seconds(10);
 /// A change of the configuration completes a waiting read at once. The wait is short because a read
 /// whose connection has gone silent only fails at its end, and a new version of the configuration
 /// has to be in force within 2 s.
 constexpr TopicFollower::Timing configurationTiming{.longPollTime = std::chrono::milliseconds(1000),
                                                     .minInterval = std::chrono::milliseconds(50),
-                                                    .passiveInterval = passiveInterval};
-/// Each endpoint writes about once a second, so without a minimum interval every write would cost a
-/// call. The interval is short because some endpoints end 1.5 s after they announce it, and their
-/// runs have to be moved by then.
-constexpr TopicFollower::Timing endpointTiming{.longPollTime = std::chrono::milliseconds(1000),
-                                               .minInterval = std::chrono::milliseconds(200),
-                                               .passiveInterval = passiveInterval};
+                                                    .passiveInterval =
+                                                            EndpointExchange::passiveInterval};
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Time from the end of a window until its counts are summed up. By then those of the other
 /// instances should have been stored, or received in digests.
@@ -58,16 +50,14 @@
     , m_httpClient(loop)
     , m_storeClient(m_httpClient, loop.clock(), settings.storeAddress, m_metrics)
     , m_configurationFeed(m_context, m_siteCodec)
-    , m_endpointFeed(m_context, m_siteCodec)
     , m_configurationFollower(std::string(m_siteCodec.configurationTopic()), configurationTiming,
                               m_storeClient, m_configurationFeed, makeScheduler(), m_decisionLog)
-    , m_endpointFollower(std::string(m_siteCodec.endpointTopic()), endpointTiming, m_storeClient,
-                         m_endpointFeed, makeScheduler(), m_decisionLog)
     , m_mesh(settings.instance, settings.digestListen)
     , m_meshSocket(loop, settings.digestListen, *this)
+    , m_endpointExchange(settings.instance, m_context, m_siteCodec, m_storeClient, m_mesh,
+                         m_meshSocket, makeScheduler())
     , m_instanceDiscovery(settings.instance, settings.digestListen, m_storeClient, m_mesh,
                           [this] { return m_loop.now(); })
-    , m_readerRole(settings.instance, settings.limits.drainTime)
     , m_dutyClient(m_httpClient, loop.clock(), settings.dutyAddress, settings.instance, m_metrics)
     , m_dutyElection(
               {.instance = settings.instance, .incarnation = incarnation},
@@ -106,7 +96,6 @@
 
 void ControlPlane::start()
 {
-    m_endpointFeed.setChangeHandler([this] { sendBulletin(); });
     m_context.promptQuarantine.setTrialChooser(
             [this](std::uint64_t seed, Instant now) { return m_mesh.isChosen(seed, now); });
     m_decisionLog.write(LogLevel::Info, "started", {},
@@ -123,7 +112,7 @@
     }
     m_allowanceJournal.recover();
     m_configurationFollower.start();
-    m_endpointFollower.start();
+    m_endpointExchange.start();
     for (const std::string &address : m_settings.peerAddresses)
         m_mesh.addCandidate(address, m_loop.now());
     tick();
@@ -146,7 +135,7 @@
 {
     m_settings = settings;
     m_context.limits = settings.limits;
-    m_readerRole.setDrainTime(settings.limits.drainTime);
+    m_endpointExchange.setDrainTime(settings.limits.drainTime);
     m_context.repeatBudget.setLimit(settings.limits.repeats);
     m_context.allowances.setRules(settings.limits.allowances);
     if (m_context.configuration)
@@ -206,8 +195,7 @@
 void ControlPlane::onEndpointLeaving(const EndpointId &endpoint)
 {
     m_core.handleEndpointLeaving(endpoint, m_loop.now());
-    m_endpointFeed.updateQueue().add(endpoint);
-    sendBulletin();
+    m_endpointExchange.publish(endpoint, m_loop.now());
 }
 
 LocalServer::Response ControlPlane::answerReadiness(const RequestHead &head) const
@@ -257,7 +245,7 @@
     if (m_pauseDetector.detectPause(now)) {
         // Endpoints may have ended meanwhile, and digests arrive only four times a second.
         m_decisionLog.write(LogLevel::Info, "slept", {}, {});
-        m_endpointFollower.refresh();
+        m_endpointExchange.refresh();
         m_configurationFollower.refresh();
     }
     m_core.checkSilentEndpoints(now);
@@ -269,15 +257,15 @@
     m_context.repeatBudget.setInstanceCount(m_mesh.instanceCount());
     m_context.allowances.updateReservations(m_mesh, now);
     m_context.usageMeter.setClockCorrection(m_mesh.clockCorrection());
-    updateReaderRole();
-    sendBulletin();
+    m_endpointExchange.advance(now);
+    updateConfigurationReading();
     m_instanceDiscovery.advance();
     m_dutyElection.advance(m_mesh);
     m_usageReporter.advance(m_mesh);
     manageFleet();
     // Readers write the journal, since they are known within a second of a start, whereas the
     // election of the holder of the duties takes seconds.
-    m_allowanceJournal.advance(m_endpointFollower.isActive(), m_mesh.clockCorrection());
+    m_allowanceJournal.advance(m_endpointExchange.isReader(), m_mesh.clockCorrection());
     m_decisionLog.reportDropped();
     m_logWriter.flush();
     checkStop();
@@ -314,30 +302,19 @@
     m_context.endpointLimits.expire(m_loop.now());
 }
 
-void ControlPlane::updateReaderRole()
+void ControlPlane::updateConfigurationReading()
 {
     const Instant now = m_loop.now();
-    m_readerRole.advance(m_mesh, now);
-    const bool isReader = m_readerRole.isReader();
-    if (isReader != m_endpointFollower.isActive())
-        m_decisionLog.write(LogLevel::Info, "reader-role", {}, {{"reader", isReader}});
+    const bool isReader = m_endpointExchange.isReader();
     m_configurationFollower.setActive(isReader);
-    m_endpointFollower.setActive(isReader);
-    // Only readers send changes: otherwise every instance would send each change to all others. An
-    // instance that receives no digests of a reader becomes one itself.
-    m_endpointFeed.setPublishesUpdates(isReader);
-    m_configurationFollower.setPassiveInterval(m_mesh.scaledInterval(passiveInterval));
-    m_endpointFollower.setPassiveInterval(m_mesh.scaledInterval(passiveInterval));
+    m_configurationFollower.setPassiveInterval(
+            m_mesh.scaledInterval(EndpointExchange::passiveInterval));
     if (isReader)
         return;
+    const Revision ownRevision = m_context.configuration ? m_context.configuration->revision() : 0;
     for (const auto &[name, peer] : m_mesh.peers()) {
-        if (!Mesh::isLive(peer, now) || !peer.digest.isReader)
-            continue;
-        m_context.endpointsAsOf =
-                std::max(m_context.endpointsAsOf, peer.receivedAt - peer.digest.endpointsAge);
-        const Revision ownRevision =
-                m_context.configuration ? m_context.configuration->revision() : 0;
-        if (peer.digest.revision == ownRevision) {
+        if (Mesh::isLive(peer, now) && peer.digest.isReader
+            && peer.digest.revision == ownRevision) {
             m_context.configurationAsOf = std::max(m_context.configurationAsOf,
                                                    peer.receivedAt - peer.digest.configurationAge);
         }
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -13,7 +13,7 @@
 #include "servers/allowance/allowance_journal.h"
 #include "servers/duties/duty_election.h"
 #include "servers/duties/usage_reporter.h"
-#include "servers/endpoints/endpoint_feed.h"
+#include "servers/endpoints/endpoint_exchange.h"
 #include "servers/fleet/fleet_manager.h"
 #include "servers/mesh/instance_discovery.h"
 #include "servers/mesh/mesh.h"
@@ -21,7 +21,6 @@
 #include "servers/ports/traffic_listener.h"
 #include "servers/serving/serving_core.h"
 #include "servers/site/configuration_feed.h"
-#include "servers/store/reader_role.h"
 #include "servers/store/topic_follower.h"
 
 #include <optional>
@@ -66,13 +65,12 @@
     void tick();
     void manageFleet();
     void updateEndpointLimits();
-    void updateReaderRole();
+    void updateConfigurationReading();
     Duration digestInterval() const;
     /// Broadcasts a digest and schedules the next one.
     void sendDigest();
     /// Sends a digest to all targets. Holders of the duties get it with the counts of usage.
     void broadcastDigest();
-    void sendBulletin();
     void handleDigest(Digest digest) override;
     void handleBulletin(const Bulletin &bulletin) override;
     void checkStop();
@@ -89,13 +87,11 @@
     platform::StoreClient m_storeClient;
     platform::StoreSiteCodec m_siteCodec;
     ConfigurationFeed m_configurationFeed;
-    EndpointFeed m_endpointFeed;
     TopicFollower m_configurationFollower;
-    TopicFollower m_endpointFollower;
     Mesh m_mesh;
     MeshSocket m_meshSocket;
+    EndpointExchange m_endpointExchange;
     InstanceDiscovery m_instanceDiscovery;
-    ReaderRole m_readerRole;
     ProcessPauseDetector m_pauseDetector;
     platform::DutyClient m_dutyClient;
     DutyElection m_dutyElection;
@@ -107,8 +103,6 @@
     TimerQueue::Handle m_deadlineTimer;
     TimerQueue::Handle m_tickTimer;
     TimerQueue::Handle m_digestTimer;
-    Instant m_bulletinSentAt;
-    std::uint64_t m_bulletinRound = 0;
     std::uint64_t m_digestsSent = 0;
     bool m_isStopping = false;
     Instant m_stopRequestedAt;
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -1,7 +1,5 @@
 #include "main/monsoonsaild/control_plane.h"
 
-#include "servers/endpoints/endpoint_update.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -10,15 +8,13 @@
 namespace monsoonsail {
 
 namespace {
-/// Minimum time between two bulletins, so that changes in quick succession share one.
-constexpr Duration minBulletinInterval = std::chrono::milliseconds(40);
 /// A peer repeats its suspicions in every digest. They end this long after its next one is due.
 constexpr Duration suspicionMargin = std::chrono::milliseconds(450);
 } // namespace
 
 Duration ControlPlane::digestInterval() const
 {
-    return m_mesh.digestInterval(m_endpointFollower.isActive());
+    return m_mesh.digestInterval(m_endpointExchange.isReader());
 }
 
 void ControlPlane::sendDigest()
@@ -42,16 +38,12 @@
                   .revision = m_context.configuration ? m_context.configuration->revision() : 0,
                   .isStopping = m_isStopping,
                   .refusesNewRequests = m_context.refusesNewRequests,
-                  // An instance without live peers can't know whether its bulletins arrive, so the
-                  // others must not rely on it as a reader.
-                  .isReader = m_endpointFollower.isActive() && m_mesh.isConnected(now),
                   .fencingNumber = m_dutyElection.announcedFencingNumber(),
                   .endpointLoads = m_context.enginePlacer->ownLoads(now),
                   .accountUses = m_context.allowances.collectDigestUses(isComplete),
                   .isComplete = isComplete,
                   .serviceWork = m_context.workMeter.ownWork(),
                   .configurationAge = now - m_context.configurationAsOf,
-                  .endpointsAge = now - m_context.endpointsAsOf,
                   .peerAddresses =
                           isComplete ? m_mesh.nextPeerAddresses(now) : std::vector<std::string>()};
     for (const Digest::EndpointLoad &load : m_context.servicePlacer->ownLoads(now))
@@ -69,6 +61,7 @@
     std::erase_if(targets, [&holders](const std::string &address) {
         return std::ranges::find(holders, address) != holders.end();
     });
+    m_endpointExchange.fillDigest(digest, now);
     m_context.promptQuarantine.fillDigest(digest, now);
     m_context.endpointLimits.fillDigest(digest, now);
     digest.sequence = ++m_digestsSent;
@@ -77,20 +70,6 @@
     m_meshSocket.send(digest, holders);
 }
 
-void ControlPlane::sendBulletin()
-{
-    const Instant now = m_loop.now();
-    if (now < m_bulletinSentAt + minBulletinInterval)
-        return;
-    const Bulletin bulletin{.sentAt = now,
-                            .needsZoneRelay = m_mesh.usesRelays(),
-                            .updates = m_endpointFeed.updateQueue().takeDue(now)};
-    if (bulletin.updates.empty())
-        return;
-    m_bulletinSentAt = now;
-    m_meshSocket.send(bulletin, m_mesh.bulletinTargets(++m_bulletinRound, now));
-}
-
 void ControlPlane::handleDigest(Digest digest)
 {
     const Instant now = m_loop.now();
@@ -116,14 +95,7 @@
 
 void ControlPlane::handleBulletin(const Bulletin &bulletin)
 {
-    const Instant now = m_loop.now();
-    if (bulletin.needsZoneRelay) {
-        Bulletin copy = bulletin;
-        copy.needsZoneRelay = false;
-        m_meshSocket.send(copy, m_mesh.livePeersIn(m_context.zone, now));
-    }
-    for (const EndpointUpdate &update : bulletin.updates)
-        applyEndpointUpdate(update, bulletin.sentAt - now, m_context.endpoints, now);
+    m_endpointExchange.handleBulletin(bulletin, m_loop.now());
 }
 
 } // namespace monsoonsail
--- /dev/null
+++ b/servers/endpoints/endpoint_exchange.cpp
@@ -0,0 +1,104 @@
+#include "servers/endpoints/endpoint_exchange.h"
+
+#include "servers/endpoints/endpoint_update.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+/// Minimum time between two bulletins, so that changes in quick succession share one.
+constexpr Duration minBulletinInterval = std::chrono::milliseconds(40);
+/// Each endpoint writes about once a second, so without a minimum interval every write would cost a
+/// call. The interval is short because some endpoints end 1.5 s after they announce it, and their
+/// runs have to be moved by then.
+constexpr TopicFollower::Timing timing{.longPollTime = std::chrono::milliseconds(1000),
+                                       .minInterval = std::chrono::milliseconds(200),
+                                       .passiveInterval = EndpointExchange::passiveInterval};
+} // namespace
+
+EndpointExchange::EndpointExchange(const std::string &instance, ServingContext &context,
+                                   const SiteCodec &codec, RecordLog &log, const Mesh &mesh,
+                                   BulletinPort &bulletins, TopicFollower::Scheduler scheduler)
+    : m_context(context)
+    , m_mesh(mesh)
+    , m_bulletins(bulletins)
+    , m_scheduler(std::move(scheduler))
+    , m_feed(context, codec)
+    , m_follower(std::string(codec.endpointTopic()), timing, log, m_feed, m_scheduler, context.log)
+    , m_readerRole(instance, context.limits.drainTime)
+{ }
+
+void EndpointExchange::start()
+{
+    m_feed.setChangeHandler([this] { sendBulletin(m_scheduler.now()); });
+    m_follower.start();
+}
+
+void EndpointExchange::advance(Instant now)
+{
+    updateReaderRole(now);
+    sendBulletin(now);
+}
+
+void EndpointExchange::updateReaderRole(Instant now)
+{
+    m_readerRole.advance(m_mesh, now);
+    const bool isReader = m_readerRole.isReader();
+    if (isReader != m_follower.isActive())
+        m_context.log.write(LogLevel::Info, "reader-role", {}, {{"reader", isReader}});
+    m_follower.setActive(isReader);
+    // Only readers send changes: otherwise every instance would send each change to all others. An
+    // instance that receives no digests of a reader becomes one itself.
+    m_feed.setPublishesUpdates(isReader);
+    m_follower.setPassiveInterval(m_mesh.scaledInterval(passiveInterval));
+    if (isReader)
+        return;
+    for (const auto &[name, peer] : m_mesh.peers()) {
+        if (Mesh::isLive(peer, now) && peer.digest.isReader) {
+            m_context.endpointsAsOf =
+                    std::max(m_context.endpointsAsOf, peer.receivedAt - peer.digest.endpointsAge);
+        }
+    }
+}
+
+void EndpointExchange::publish(const EndpointId &endpoint, Instant now)
+{
+    m_feed.updateQueue().add(endpoint);
+    sendBulletin(now);
+}
+
+void EndpointExchange::sendBulletin(Instant now)
+{
+    if (now < m_bulletinSentAt + minBulletinInterval)
+        return;
+    const Bulletin bulletin{.sentAt = now,
+                            .needsZoneRelay = m_mesh.usesRelays(),
+                            .updates = m_feed.updateQueue().takeDue(now)};
+    if (bulletin.updates.empty())
+        return;
+    m_bulletinSentAt = now;
+    m_bulletins.send(bulletin, m_mesh.bulletinTargets(++m_bulletinRound, now));
+}
+
+void EndpointExchange::handleBulletin(const Bulletin &bulletin, Instant now)
+{
+    if (bulletin.needsZoneRelay) {
+        Bulletin copy = bulletin;
+        copy.needsZoneRelay = false;
+        m_bulletins.send(copy, m_mesh.livePeersIn(m_context.zone, now));
+    }
+    for (const EndpointUpdate &update : bulletin.updates)
+        applyEndpointUpdate(update, bulletin.sentAt - now, m_context.endpoints, now);
+}
+
+void EndpointExchange::fillDigest(Digest &digest, Instant now) const
+{
+    // An instance without live peers can't know whether its bulletins arrive, so the others must
+    // not rely on it as a reader.
+    digest.isReader = isReader() && m_mesh.isConnected(now);
+    digest.endpointsAge = now - m_context.endpointsAsOf;
+}
+
+} // namespace monsoonsail
