Log which sum of usage was stored and which was reported

Observability for the incident with ONE: the record can't tell a report that differs from its stored sum from a window that was stored twice, or from two holders. usage-fixed now names window, offset and a hash of the stored sum, usage-reported the hash of the reported one and the number under which the report was sent (before: the number at the time of the answer).

No logic changes.

--- a/servers/duties/usage_records.cpp
+++ b/servers/duties/usage_records.cpp
@@ -1,5 +1,7 @@
 #include "servers/duties/usage_records.h"
 
+#include "core/hash.h"
+
 #include <nlohmann/json.hpp>
 
 namespace monsoonsail {
@@ -30,4 +32,9 @@
     }
 }
 
+std::uint64_t hashCounts(const UsageCounts &counts)
+{
+    return stableHash(encodeUsage({.counts = counts}));
+}
+
 } // namespace monsoonsail
--- a/servers/duties/usage_records.h
+++ b/servers/duties/usage_records.h
@@ -2,6 +2,7 @@
 
 #include "servers/metering/usage_counts.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,4 +21,7 @@
 /// Returns std::nullopt if the text is not a usage record.
 std::optional<UsageRecord> decodeUsage(std::string_view text);
 
+/// Returns a hash of the counts, by which log lines of different instances can be compared.
+std::uint64_t hashCounts(const UsageCounts &counts);
+
 } // namespace monsoonsail
--- a/servers/duties/usage_reporter.cpp
+++ b/servers/duties/usage_reporter.cpp
@@ -175,11 +175,17 @@
 void UsageReporter::fixCounts()
 {
     m_step = Step::Fixing;
-    const std::string record = encodeUsage(
-            {.window = m_pendingWindow, .counts = m_meter.totalCounts(m_pendingWindow)});
-    m_log.append(
-            fixedTopic, {}, record, m_fixedOffset,
-            [this](std::error_code error, LogOffset offset) { handleCountsFixed(error, offset); });
+    const UsageCounts counts = m_meter.totalCounts(m_pendingWindow);
+    const std::string record = encodeUsage({.window = m_pendingWindow, .counts = counts});
+    m_log.append(fixedTopic, {}, record, m_fixedOffset,
+                 [this, hash = hashCounts(counts)](std::error_code error, LogOffset offset) {
+                     m_decisions.write(LogLevel::Info, "usage-fixed", {},
+                                       {{"window", toLog(m_pendingWindow)},
+                                        {"offset", toLog(offset)},
+                                        {"counts_hash", toLog(hash)},
+                                        {"done", !error}});
+                     handleCountsFixed(error, offset);
+                 });
 }
 
 void UsageReporter::handleCountsFixed(std::error_code error, LogOffset offset)
@@ -205,18 +211,21 @@
     if (m_fencingNumber == 0 || m_currentFencingNumber() != m_fencingNumber)
         return;
     m_step = Step::Reporting;
-    m_duties.reportUsage(m_fencingNumber, window, counts, [this, window](DutyOutcome outcome) {
-        handleReportAnswer(window, outcome);
-    });
+    m_duties.reportUsage(m_fencingNumber, window, counts,
+                         [this, window, number = m_fencingNumber,
+                          hash = hashCounts(counts)](DutyOutcome outcome) {
+                             m_decisions.write(LogLevel::Info, "usage-reported", {},
+                                               {{"window", toLog(window)},
+                                                {"fencing_number", toLog(number)},
+                                                {"counts_hash", toLog(hash)},
+                                                {"done", outcome == DutyOutcome::Done}});
+                             handleReportAnswer(window, outcome);
+                         });
 }
 
 void UsageReporter::handleReportAnswer(WindowNumber window, DutyOutcome outcome)
 {
     m_step = Step::Idle;
-    m_decisions.write(LogLevel::Info, "usage-reported", {},
-                      {{"window", static_cast<std::int64_t>(window)},
-                       {"fencing_number", static_cast<std::int64_t>(m_fencingNumber)},
-                       {"done", outcome == DutyOutcome::Done}});
     if (outcome == DutyOutcome::Done)
         m_reported[window] = true;
     else if (outcome == DutyOutcome::Fenced)
