Report the sum of usage that was stored, not one computed after it

Cause: fixCounts() stored a sum, and handleCountsFixed() computed it again when the store had answered and reported that one. A count that arrived in between, by a digest, a stored record or a request that ended, was in the report and not in the record. The process itself kept the higher sum, so its repeats agreed; a successor reports the record.

Evidence: DutyTest::countReceivedWhileASumIsStoredDoesNotChangeItsReport failed on (two different reports for the window, expected one) and passes now; DutyTest 18 passed. Ruled out: a record that a late holder lacks, since the append names the offset at which it has to take place.

The counts travel with the append, so there is one sum from its storing on.

--- a/servers/duties/usage_reporter.cpp
+++ b/servers/duties/usage_reporter.cpp
@@ -175,22 +175,23 @@
 void UsageReporter::fixCounts()
 {
     m_step = Step::Fixing;
-    const UsageCounts counts = m_meter.totalCounts(m_pendingWindow);
+    UsageCounts counts = m_meter.totalCounts(m_pendingWindow);
     const std::string record = encodeUsage({.window = m_pendingWindow, .counts = counts});
     m_log.append(fixedTopic, {}, record, m_fixedOffset,
-                 [this, hash = hashCounts(counts)](std::error_code error, LogOffset offset) {
-                     m_decisions.write(LogLevel::Info, "usage-fixed", {},
-                                       {{"window", toLog(m_pendingWindow)},
-                                        {"offset", toLog(offset)},
-                                        {"counts_hash", toLog(hash)},
-                                        {"done", !error}});
-                     handleCountsFixed(error, offset);
+                 [this, counts = std::move(counts)](std::error_code error, LogOffset offset) {
+                     handleCountsFixed(counts, error, offset);
                  });
 }
 
-void UsageReporter::handleCountsFixed(std::error_code error, LogOffset offset)
+void UsageReporter::handleCountsFixed(const UsageCounts &counts, std::error_code error,
+                                      LogOffset offset)
 {
     m_step = Step::Idle;
+    m_decisions.write(LogLevel::Info, "usage-fixed", {},
+                      {{"window", toLog(m_pendingWindow)},
+                       {"offset", toLog(offset)},
+                       {"counts_hash", toLog(hashCounts(counts))},
+                       {"done", !error}});
     if (error) {
         // Another holder was faster, or the record was stored although the call failed. The next
         // read shows which.
@@ -200,9 +201,8 @@
         return;
     }
     m_fixedOffset = offset + 1;
-    reportWindow(
-            m_pendingWindow,
-            m_fixed.emplace(m_pendingWindow, m_meter.totalCounts(m_pendingWindow)).first->second);
+    // The meter may know more by now, but a successor reports what was stored.
+    reportWindow(m_pendingWindow, m_fixed.emplace(m_pendingWindow, counts).first->second);
 }
 
 void UsageReporter::reportWindow(WindowNumber window, const UsageCounts &counts)
--- a/servers/duties/usage_reporter.h
+++ b/servers/duties/usage_reporter.h
@@ -61,7 +61,7 @@
     void reportWindow(WindowNumber window, const UsageCounts &counts);
     void handleFixedRead(std::error_code error, const LogRecords &records);
     void handleCountsRead(std::error_code error, const LogRecords &records);
-    void handleCountsFixed(std::error_code error, LogOffset offset);
+    void handleCountsFixed(const UsageCounts &counts, std::error_code error, LogOffset offset);
     void handleReportAnswer(WindowNumber window, DutyOutcome outcome);
     std::optional<WindowNumber> nextWindow() const;
     void delayNextStep();
--- a/tests/servers/duty_test.cpp
+++ b/tests/servers/duty_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(countsOfAllInstancesAreReported);
     CPPUNIT_TEST(manyInstancesSendCountsByDigestOnly);
     CPPUNIT_TEST(successorReportsTheFixedCounts);
+    CPPUNIT_TEST(countReceivedWhileASumIsStoredDoesNotChangeItsReport);
     CPPUNIT_TEST(countsStoredWithoutDigestsAreReported);
     CPPUNIT_TEST(lostReportIsRepeatedWithTheSameCounts);
     CPPUNIT_TEST(reportWaitsForTheStore);
@@ -429,6 +430,25 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reported(window));
     }
 
+    // The successor reports the sum that was stored, so the first holder must too.
+    void countReceivedWhileASumIsStoredDoesNotChangeItsReport()
+    {
+        Instance &first = holder();
+        const WindowNumber window = first.meter->windowAt(m_now);
+        first.meter->countRequest(AccountId("club"), m_now);
+        m_store.onAppended = [&](const std::string &topic) {
+            if (topic == "usage-fixed")
+                first.meter->recordCounts("late.1", window, {{AccountId("club"), 99}});
+        };
+        m_duties.losesAnswers = true;
+        while (m_duties.reports[window].empty())
+            advance(milliseconds(100));
+        first.isAlive = false;
+        m_duties.losesAnswers = false;
+        advance(seconds(8));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reported(window));
+    }
+
     void countsStoredWithoutDigestsAreReported()
     {
         m_digestsAreLost = true;
--- a/tests/servers/memory_log.h
+++ b/tests/servers/memory_log.h
@@ -66,6 +66,8 @@
                 return;
             }
             all.push_back({.offset = all.size(), .key = key, .value = value});
+            if (onAppended)
+                onAppended(topic);
             done(losesAnswers ? StoreError::Unreachable : std::error_code(), all.size() - 1);
         });
     }
@@ -84,6 +86,8 @@
     std::map<std::string, LogOffset> first; ///< Oldest offset that is still readable, by topic.
     std::error_code error;                  ///< Error that every call gets while it is set.
     bool losesAnswers = false;              ///< Appends are stored but fail as unreachable.
+    /// Called with the topic of each stored record, before the append is answered.
+    std::function<void(const std::string &)> onAppended;
     int reads = 0;
     int newestReads = 0;
     int appends = 0;
