Keep stored sums of usage when the clock jumps and returns

What would be seen: two reports for one window with different counts, by one holder. Not shown to be what the users saw; found by asking what else may differ for one window.

Cause: a holder dropped stored sums by its corrected clock.

Evidence: DutyTest::clockThatJumpsAndReturnsDoesNotChangeAReport failed on (two reports, expected one) and passes now; DutyTest 19 passed. Ruled out: own clock steps, since the clock is read once at the start.

The 64 windows with the highest numbers are kept instead.

--- a/servers/duties/usage_reporter.cpp
+++ b/servers/duties/usage_reporter.cpp
@@ -18,6 +18,9 @@
 constexpr unsigned minInstancesForDigestCounts = 40;
 /// Windows that are kept; more than can still be reported.
 constexpr WindowNumber retainedWindows = 8;
+/// Windows whose stored sums are kept, the highest numbers first. The clock doesn't decide what is
+/// dropped, since it may be corrected back and a window must not be summed up twice.
+constexpr std::size_t maxFixedWindows = 64;
 
 } // namespace
 
@@ -62,9 +65,10 @@
     if (m_fencingNumber == 0 || m_step != Step::Idle || now < m_nextStepAt)
         return;
     if (current > retainedWindows) {
-        m_fixed.erase(m_fixed.begin(), m_fixed.lower_bound(current - retainedWindows));
         m_reported.erase(m_reported.begin(), m_reported.lower_bound(current - retainedWindows));
     }
+    while (m_fixed.size() > maxFixedWindows)
+        m_fixed.erase(m_fixed.begin());
     const auto window = nextWindow();
     if (!window)
         return;
--- a/tests/servers/duty_test.cpp
+++ b/tests/servers/duty_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(manyInstancesSendCountsByDigestOnly);
     CPPUNIT_TEST(successorReportsTheFixedCounts);
     CPPUNIT_TEST(countReceivedWhileASumIsStoredDoesNotChangeItsReport);
+    CPPUNIT_TEST(clockThatJumpsAndReturnsDoesNotChangeAReport);
     CPPUNIT_TEST(countsStoredWithoutDigestsAreReported);
     CPPUNIT_TEST(lostReportIsRepeatedWithTheSameCounts);
     CPPUNIT_TEST(reportWaitsForTheStore);
@@ -449,6 +450,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reported(window));
     }
 
+    // A holder that forgets a stored sum stores and reports another one.
+    void clockThatJumpsAndReturnsDoesNotChangeAReport()
+    {
+        Instance &first = holder();
+        const WindowNumber window = first.meter->windowAt(m_now);
+        first.meter->countRequest(AccountId("club"), m_now);
+        m_duties.losesAnswers = true;
+        while (m_duties.reports[window].empty())
+            advance(milliseconds(100));
+        first.meter->setClockCorrection(seconds(60));
+        advance(seconds(1));
+        first.meter->setClockCorrection({});
+        m_duties.losesAnswers = false;
+        advance(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reported(window));
+    }
+
     void countsStoredWithoutDigestsAreReported()
     {
         m_digestsAreLost = true;
