Remove endpoints that only bulletins had named when the whole list is read

Cause: TopicFollower compared a whole read of the list with the keys of its own earlier reads. Most instances learn of endpoints by bulletins, between reads 59 s apart; if an endpoint came and went in between and the bulletin of its end was lost, no read ever reported the removal. Class: a comparison with what this reader has seen, in place of what the receiver believes.

Evidence: EndpointFeedTest::wholeReadRemovesAnEndpointThatOnlyABulletinNamed failed on the code before (still usable after the read) and passes now; 201 tests of servers passed.

The follower now asks the sink which keys it knows. The removal carries the last offset that the read covers, not the one after it, so an entry that a bulletin has brought from there on stays.

--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -53,6 +53,16 @@
     m_context.endpoints.applyListing(*listing, now);
 }
 
+std::vector<std::string> EndpointFeed::knownKeys() const
+{
+    std::vector<std::string> instances;
+    for (const auto &[id, endpoint] : m_context.endpoints.all()) {
+        if (endpoint.state == EndpointState::Ready)
+            instances.push_back(endpoint.listing.instance);
+    }
+    return instances;
+}
+
 void EndpointFeed::onKeyRemoved(const std::string &key, LogOffset offset, Instant now)
 {
     const Instant usableUntil = mayHaveLapsed(now) ? now + lapseGrace : m_lapseGraceUntil;
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -28,6 +28,7 @@
     EndpointUpdateQueue &updateQueue() { return m_updateQueue; }
 
     void onValueChanged(const LogRecord &record, Instant now) override;
+    std::vector<std::string> knownKeys() const override;
     void onKeyRemoved(const std::string &key, LogOffset offset, Instant now) override;
     void onCaughtUp(LogOffset end, Instant asOf, Instant now) override;
     void onReadFailed(std::error_code error, Instant since, Instant now) override;
--- a/servers/site/configuration_feed.h
+++ b/servers/site/configuration_feed.h
@@ -16,6 +16,8 @@
     { }
 
     void onValueChanged(const LogRecord &record, Instant now) override;
+    /// A removed configuration stays in force, so there is no key to look for.
+    std::vector<std::string> knownKeys() const override { return {}; }
     void onKeyRemoved(const std::string & /*key*/, LogOffset /*offset*/, Instant /*now*/) override
     { }
     void onCaughtUp(LogOffset end, Instant asOf, Instant now) override;
--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -3,6 +3,7 @@
 #include "core/store_error.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace monsoonsail {
@@ -81,11 +82,12 @@
         keys.insert(record.key);
         m_sink.onValueChanged(record, now);
     }
-    for (const std::string &key : m_keys) {
+    // The sink may know keys that no read of this instance has returned.
+    const LogOffset lastOffset = records.end > 0 ? records.end - 1 : 0;
+    for (const std::string &key : m_sink.knownKeys()) {
         if (!keys.contains(key))
-            m_sink.onKeyRemoved(key, records.end, now);
+            m_sink.onKeyRemoved(key, lastOffset, now);
     }
-    m_keys = std::move(keys);
     m_nextOffset = records.end;
     m_sink.onCaughtUp(records.end, m_readStartedAt, now);
     finishSuccessfulRead();
@@ -117,13 +119,10 @@
     }
     const Instant now = m_scheduler.now();
     for (const LogRecord &record : records.records) {
-        if (record.value.empty()) {
-            m_keys.erase(record.key);
+        if (record.value.empty())
             m_sink.onKeyRemoved(record.key, record.offset, now);
-        } else {
-            m_keys.insert(record.key);
+        else
             m_sink.onValueChanged(record, now);
-        }
     }
     m_nextOffset = records.end;
     // A read without records has waited for the whole long poll time, so it covers that time.
--- a/servers/store/topic_follower.h
+++ b/servers/store/topic_follower.h
@@ -7,10 +7,10 @@
 
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <vector>
 
 namespace monsoonsail {
 
@@ -22,6 +22,8 @@
 
     /// Receives the record with the new value of a key.
     virtual void onValueChanged(const LogRecord &record, Instant now) = 0;
+    /// Returns the keys that have a value as far as the sink knows, whatever it knows them from.
+    virtual std::vector<std::string> knownKeys() const = 0;
     /// Called when a key was removed by the record at `offset` or an earlier one.
     virtual void onKeyRemoved(const std::string &key, LogOffset offset, Instant now) = 0;
     /// Called when all changes up to `asOf`, and all records before `end`, have been passed on.
@@ -82,7 +84,6 @@
     const Scheduler m_scheduler;
     DecisionLog &m_decisions;
     std::optional<LogOffset> m_nextOffset; ///< Empty before the newest records have been read.
-    std::set<std::string> m_keys;          ///< Keys that have a value.
     Instant m_readStartedAt;               ///< Start of the current or last read.
     unsigned m_failures = 0;               ///< Number of consecutive failed reads.
     bool m_active = true;
--- a/tests/servers/endpoint_feed_test.cpp
+++ b/tests/servers/endpoint_feed_test.cpp
@@ -1,4 +1,7 @@
 #include "servers/endpoints/endpoint_feed.h"
+#include "servers/endpoints/endpoint_update.h"
+#include "tests/servers/memory_log.h"
+#include "tests/servers/recording_log.h"
 #include "tests/servers/serving_fixture.h"
 
 #include <cppunit/TestFixture.h>
@@ -51,6 +54,7 @@
     CPPUNIT_TEST(dropAfterALostCallIsUnusableAtOnce);
     CPPUNIT_TEST(dropAfterAnOutageStaysUsableForAWhile);
     CPPUNIT_TEST(dropSoonAfterAnOutageStaysUsableForAWhile);
+    CPPUNIT_TEST(wholeReadRemovesAnEndpointThatOnlyABulletinNamed);
     CPPUNIT_TEST(firstReadQueuesNoUpdates);
     CPPUNIT_TEST(changeIsSentAFewTimes);
     CPPUNIT_TEST_SUITE_END();
@@ -65,9 +69,9 @@
         m_feed->onCaughtUp(1, m_fixture.now, m_fixture.now);
         CPPUNIT_ASSERT(isUsable());
     }
-    bool isUsable()
+    bool isUsable(const std::string &instance = "e1")
     {
-        const Endpoint *endpoint = m_fixture.context.endpoints.find(endpointId("e1", 1));
+        const Endpoint *endpoint = m_fixture.context.endpoints.find(endpointId(instance, 1));
         return endpoint != nullptr && endpoint->isUsable(m_fixture.now);
     }
     void failReads(Duration length)
@@ -124,6 +128,32 @@
         CPPUNIT_ASSERT(!isUsable());
     }
 
+    // Requests went on to an endpoint whose removal was announced in a bulletin that got lost.
+    void wholeReadRemovesAnEndpointThatOnlyABulletinNamed()
+    {
+        MemoryLog store;
+        RecordingLog log;
+        std::vector<std::function<void()>> tasks;
+        TopicFollower follower(
+                "keyed.servers", {}, store, *m_feed,
+                {.now = [this] { return m_fixture.now; },
+                 .at = [&tasks](Instant, std::function<void()> task) { tasks.push_back(task); }},
+                log);
+        follower.start();
+        store.answerPending();
+        store.topics["keyed.servers"] = {{.offset = 0, .key = "e9", .value = "{}"},
+                                         {.offset = 1, .key = "e9", .value = ""}};
+        std::string fault;
+        EndpointUpdate update{
+                .listing = *m_codec.parseEndpointListing("e9", "", m_fixture.now, fault)};
+        applyEndpointUpdate(update, {}, m_fixture.context.endpoints, m_fixture.now);
+        CPPUNIT_ASSERT(isUsable("e9"));
+        follower.refresh();
+        tasks.back()();
+        store.answerPending();
+        CPPUNIT_ASSERT(!isUsable("e9"));
+    }
+
     // A starting instance may read 1,000 endpoints at once, which don't fit into a datagram.
     void firstReadQueuesNoUpdates()
     {
--- a/tests/servers/topic_follower_test.cpp
+++ b/tests/servers/topic_follower_test.cpp
@@ -23,6 +23,13 @@
     {
         values[record.key] = record.value;
     }
+    std::vector<std::string> knownKeys() const override
+    {
+        std::vector<std::string> keys;
+        for (const auto &[key, value] : values)
+            keys.push_back(key);
+        return keys;
+    }
     void onKeyRemoved(const std::string &key, LogOffset /*offset*/, Instant /*now*/) override
     {
         values.erase(key);
