Tell when an instance missed a change of an endpoint, and how late it learned of one

- Digests of readers carry the end of the part of the list's log that they have read and a checksum of the endpoints listed as ready (18 to 22 bytes, flat in the number of instances and endpoints; checksums are sums of hashes, so their order does not matter).
An instance whose endpoints differ for 0.6 s logs endpoint-list-differs (hypotheses 1, 2, 4, 5).
- Updates carry the time since their author learned of the change: monsoonsail_endpoint_update_seconds shows which of the three sends arrived.
- monsoonsail_mesh_dropped counts datagrams that the kernel dropped, and monsoonsail_loop_delay_seconds how late the control thread runs (hypothesis 3).

Nothing acts on it yet. Fields are added, so daemons without them read these digests and bulletins as before; a digest without them is not compared.

A leaving endpoint is kept while it is still listed, so that all instances count the same endpoints; before, its next entry made it ready again after the retention of inactive endpoints.

--- a/drivers/mesh/bulletin_codec.cpp
+++ b/drivers/mesh/bulletin_codec.cpp
@@ -32,6 +32,8 @@
     ColdUntil = 12,
     State = 13,
     UsableUntil = 14,
+    IsListed = 15,
+    Age = 16,
 };
 
 using Writer = protozero::pbf_writer;
@@ -47,6 +49,8 @@
     writer.add_uint64(tag(UpdateField::Sequence), listing.sequence);
     writer.add_uint64(tag(UpdateField::LogOffset), listing.logOffset);
     writer.add_uint32(tag(UpdateField::State), static_cast<std::uint32_t>(update.state));
+    writer.add_bool(tag(UpdateField::IsListed), update.isListed);
+    writer.add_int64(tag(UpdateField::Age), update.age.count());
     if (listing.leavesAt)
         writer.add_sint64(tag(UpdateField::LeavesAt), toMicroseconds(*listing.leavesAt));
     if (update.usableUntil != Instant::min())
@@ -110,6 +114,12 @@
         case varint(UpdateField::State):
             state = reader.get_uint32();
             break;
+        case varint(UpdateField::IsListed):
+            update.isListed = reader.get_bool();
+            break;
+        case varint(UpdateField::Age):
+            update.age = Duration(reader.get_int64());
+            break;
         case varint(UpdateField::UsableUntil):
             update.usableUntil = instantFromMicroseconds(reader.get_sint64());
             break;
--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -32,6 +32,8 @@
     SoundPart = 22,
     LiveEndpoint = 23,
     EndpointLimit = 24,
+    ListEnd = 25,
+    ListChecksum = 26,
 };
 
 enum Flag : std::uint32_t {
@@ -139,6 +141,12 @@
     case lengthDelimited(DigestField::EndpointLimit):
         digest.endpointLimits.push_back(readEndpointLimit(reader.get_message()));
         break;
+    case varint(DigestField::ListEnd):
+        digest.listEnd = reader.get_uint64();
+        break;
+    case fixed64(DigestField::ListChecksum):
+        digest.listChecksum = reader.get_fixed64();
+        break;
     case varint(DigestField::End):
         reader.skip();
         return true;
@@ -167,6 +175,10 @@
     writer.add_uint64(tag(DigestField::FencingNumber), digest.fencingNumber);
     writer.add_int64(tag(DigestField::ConfigurationAge), digest.configurationAge.count());
     writer.add_int64(tag(DigestField::EndpointsAge), digest.endpointsAge.count());
+    if (digest.listEnd != 0) {
+        writer.add_uint64(tag(DigestField::ListEnd), digest.listEnd);
+        writer.add_fixed64(tag(DigestField::ListChecksum), digest.listChecksum);
+    }
     for (const Digest::EndpointLoad &load : digest.endpointLoads)
         writeLoad(load, Writer(writer, tag(DigestField::Load)));
     for (const Digest::AccountUse &use : digest.accountUses) {
--- a/drivers/mesh/mesh_socket.h
+++ b/drivers/mesh/mesh_socket.h
@@ -43,6 +43,8 @@
     /// Bytes of datagrams sent and received since construction.
     std::uint64_t sentBytes() const { return m_sentBytes; }
     std::uint64_t receivedBytes() const { return m_receivedBytes; }
+    /// Number of datagrams that the kernel has dropped because the process did not read them.
+    std::uint32_t droppedDatagrams() const { return m_socket.droppedDatagrams(); }
     /// Number of received datagrams that could not be decoded.
     std::uint64_t unreadableDatagrams() const { return m_unreadableDatagrams; }
 
--- a/drivers/mesh/wire_fields.h
+++ b/drivers/mesh/wire_fields.h
@@ -8,7 +8,8 @@
 namespace monsoonsail {
 
 /// Kind of a datagram and version of its layout; the first field of each datagram. The number must
-/// change with every change of the layout, so that datagrams of other versions are dropped.
+/// change when a field changes its meaning, so that datagrams of other versions are dropped. Added
+/// fields don't need that, since unknown ones are skipped.
 enum class Layout : std::uint32_t {
     Digest = 7,
     Bulletin = 105,
--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -60,6 +60,17 @@
                                    .Name("monsoonsail_platform_calls_total")
                                    .Help("Calls to the platform, by kind and topic or duty")
                                    .Register(m_registry))
+    , m_endpointUpdateAge(prometheus::BuildHistogram()
+                                  .Name("monsoonsail_endpoint_update_seconds")
+                                  .Help("Age of changes of endpoints at the sending of the "
+                                        "bulletin that brought them here first")
+                                  .Register(m_registry)
+                                  .Add({}, latencyBucketBounds()))
+    , m_loopDelay(prometheus::BuildHistogram()
+                          .Name("monsoonsail_loop_delay_seconds")
+                          .Help("Time from when the control thread's tick was due until it ran")
+                          .Register(m_registry)
+                          .Add({}, latencyBucketBounds()))
 { }
 
 void PrometheusMetrics::recordAnswer(std::string_view route, std::string_view account,
@@ -129,6 +140,16 @@
             .Increment();
 }
 
+void PrometheusMetrics::recordEndpointUpdate(Duration age)
+{
+    m_endpointUpdateAge.Observe(toSeconds(age));
+}
+
+void PrometheusMetrics::recordLoopDelay(Duration delay)
+{
+    m_loopDelay.Observe(toSeconds(delay));
+}
+
 void PrometheusMetrics::setGauge(const std::string &name, const std::string &help, double value)
 {
     prometheus::Gauge *&gauge = m_gauges[name];
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -27,6 +27,9 @@
     void recordRefusal(std::string_view account, ErrorKind kind) override;
     void recordAttempt(std::string_view service, AttemptResult result) override;
     void recordPlatformCall(std::string_view call, std::string_view subject) override;
+    void recordEndpointUpdate(Duration age) override;
+    /// Records how late a periodic task of the control thread ran.
+    void recordLoopDelay(Duration delay);
 
     /// Sets the gauge with this name, and creates it on the first call.
     void setGauge(const std::string &name, const std::string &help, double value);
@@ -47,6 +50,8 @@
     Counters &m_refusalFamily;
     Counters &m_attemptFamily;
     Counters &m_platformCallFamily;
+    prometheus::Histogram &m_endpointUpdateAge;
+    prometheus::Histogram &m_loopDelay;
     SeriesMap<prometheus::Histogram> m_requestTimes;
     SeriesMap<prometheus::Histogram> m_firstByteTimes;
     SeriesMap<prometheus::Histogram> m_longestPauses;
--- a/drivers/net/socket.cpp
+++ b/drivers/net/socket.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/net/socket_address.h"
 
+#include <linux/sock_diag.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -170,6 +171,15 @@
     ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
 
+std::uint32_t Socket::droppedDatagrams() const
+{
+    std::array<std::uint32_t, SK_MEMINFO_VARS> counters{};
+    socklen_t size = sizeof counters;
+    if (::getsockopt(m_descriptor, SOL_SOCKET, SO_MEMINFO, counters.data(), &size) != 0)
+        return 0;
+    return counters[SK_MEMINFO_DROPS];
+}
+
 unsigned Socket::port() const
 {
     sockaddr_in address{};
--- a/drivers/net/socket.h
+++ b/drivers/net/socket.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -53,6 +54,9 @@
 
     int descriptor() const { return m_descriptor; }
     bool isOpen() const { return m_descriptor >= 0; }
+    /// Returns how many datagrams the kernel has dropped because its receive buffer was full, 0 if
+    /// it doesn't tell.
+    std::uint32_t droppedDatagrams() const;
     /// Returns the local port, 0 if the socket has none.
     unsigned port() const;
     void close();
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -213,7 +213,8 @@
     if (head.target != "/metrics")
         return {.status = statusNotFound, .body = "not found\n"};
     return {.contentType = "text/plain; version=0.0.4",
-            .body = metricsPage(m_metrics, m_context, m_core, m_mesh, m_meshSocket, m_loop.now())};
+            .body = metricsPage(m_metrics, m_context, m_core, m_mesh, m_meshSocket,
+                                m_endpointExchange, m_loop.now())};
 }
 
 bool ControlPlane::isReady() const
@@ -240,8 +241,10 @@
 
 void ControlPlane::tick()
 {
-    m_tickTimer = m_loop.timers().schedule(m_loop.now() + tickInterval, [this] { tick(); });
     const Instant now = m_loop.now();
+    if (m_tickTimer.number != 0)
+        m_metrics.recordLoopDelay(now - m_tickTimer.at);
+    m_tickTimer = m_loop.timers().schedule(now + tickInterval, [this] { tick(); });
     if (m_pauseDetector.detectPause(now)) {
         // Endpoints may have ended meanwhile, and digests arrive only four times a second.
         m_decisionLog.write(LogLevel::Info, "slept", {}, {});
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -83,6 +83,7 @@
     m_context.servicePlacer->applyPeerDigest(*peer, now);
     m_context.promptQuarantine.applyPeerDigest(*peer);
     m_context.endpointLimits.applyPeerDigest(*peer);
+    m_endpointExchange.handleDigest(*peer, now);
     for (const Digest::EndpointLoad &load : peer->digest.endpointLoads) {
         if (load.isSuspect)
             m_context.endpointHealth.recordPeerSuspicion(
--- a/main/monsoonsaild/metrics_page.cpp
+++ b/main/monsoonsaild/metrics_page.cpp
@@ -6,7 +6,7 @@
 
 std::string metricsPage(PrometheusMetrics &metrics, const ServingContext &context,
                         const ServingCore &core, const Mesh &mesh, const MeshSocket &socket,
-                        Instant now)
+                        const EndpointExchange &exchange, Instant now)
 {
     const auto usable = std::ranges::count_if(context.endpoints.all(), [now](const auto &entry) {
         return entry.second.isUsable(now);
@@ -41,6 +41,12 @@
                      static_cast<double>(socket.receivedBytes()));
     metrics.setGauge("monsoonsail_mesh_unreadable", "Datagrams that could not be read",
                      static_cast<double>(socket.unreadableDatagrams()));
+    metrics.setGauge("monsoonsail_mesh_dropped",
+                     "Datagrams that the kernel dropped since its buffer was full",
+                     static_cast<double>(socket.droppedDatagrams()));
+    metrics.setGauge("monsoonsail_endpoint_list_differences",
+                     "Times that the known endpoints differed from those of a reader for long",
+                     static_cast<double>(exchange.missedChanges()));
     return metrics.text();
 }
 
--- a/servers/endpoints/endpoint.h
+++ b/servers/endpoints/endpoint.h
@@ -20,6 +20,9 @@
     EndpointListing listing;
     /// Offset in the list's log of the newest applied record: an entry or its removal.
     std::uint64_t logOffset = 0;
+    /// Whether that record lists it as ready. An endpoint that has announced its end only in its
+    /// answers may still be listed.
+    bool isListed = false;
     EndpointState state = EndpointState::Ready;
     Instant stateSince;
     /// An unlisted endpoint may be used until this instant, since its entry may only have lapsed.
--- a/servers/endpoints/endpoint_exchange.cpp
+++ b/servers/endpoints/endpoint_exchange.cpp
@@ -3,6 +3,7 @@
 #include "servers/endpoints/endpoint_update.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace monsoonsail {
@@ -28,6 +29,7 @@
     , m_feed(context, codec)
     , m_follower(std::string(codec.endpointTopic()), timing, log, m_feed, m_scheduler, context.log)
     , m_readerRole(instance, context.limits.drainTime)
+    , m_comparison(context.endpoints)
 { }
 
 void EndpointExchange::start()
@@ -39,6 +41,8 @@
 void EndpointExchange::advance(Instant now)
 {
     updateReaderRole(now);
+    updateAge(now);
+    checkForMissedChanges(now);
     sendBulletin(now);
 }
 
@@ -53,7 +57,11 @@
     // instance that receives no digests of a reader becomes one itself.
     m_feed.setPublishesUpdates(isReader);
     m_follower.setPassiveInterval(m_mesh.scaledInterval(passiveInterval));
-    if (isReader)
+}
+
+void EndpointExchange::updateAge(Instant now)
+{
+    if (isReader())
         return;
     for (const auto &[name, peer] : m_mesh.peers()) {
         if (Mesh::isLive(peer, now) && peer.digest.isReader) {
@@ -89,8 +97,42 @@
         copy.needsZoneRelay = false;
         m_bulletins.send(copy, m_mesh.livePeersIn(m_context.zone, now));
     }
-    for (const EndpointUpdate &update : bulletin.updates)
+    for (const EndpointUpdate &update : bulletin.updates) {
+        const EndpointId id = endpointId(update.listing.instance, update.listing.startedMs);
+        const Endpoint *before = m_context.endpoints.find(id);
+        const auto stateBefore = before != nullptr ? std::optional(before->state) : std::nullopt;
         applyEndpointUpdate(update, bulletin.sentAt - now, m_context.endpoints, now);
+        const Endpoint *endpoint = m_context.endpoints.find(id);
+        if (endpoint != nullptr && endpoint->state != stateBefore)
+            m_context.metrics.recordEndpointUpdate(update.age);
+    }
+    m_comparison.update(now);
+}
+
+void EndpointExchange::handleDigest(const Peer &peer, Instant now)
+{
+    const Digest &digest = peer.digest;
+    if (!digest.isReader || digest.listEnd == 0 || isReader())
+        return;
+    m_comparison.recordReport(digest.instance,
+                              {.listEnd = digest.listEnd, .checksum = digest.listChecksum}, now);
+}
+
+void EndpointExchange::checkForMissedChanges(Instant now)
+{
+    if (isReader()) {
+        m_comparison.clear();
+        return;
+    }
+    const auto difference = m_comparison.takeLasting(now);
+    if (!difference)
+        return;
+    ++m_missedChanges;
+    m_context.log.write(LogLevel::Warning, "endpoint-list-differs", {},
+                        {{"reader", difference->reader},
+                         {"for_ms", toMs(now - difference->since)},
+                         {"list_end", toLog(difference->report.listEnd)},
+                         {"own_list_end", toLog(m_context.endpoints.readEnd())}});
 }
 
 void EndpointExchange::fillDigest(Digest &digest, Instant now) const
@@ -99,6 +141,10 @@
     // not rely on it as a reader.
     digest.isReader = isReader() && m_mesh.isConnected(now);
     digest.endpointsAge = now - m_context.endpointsAsOf;
+    if (digest.isReader) {
+        digest.listEnd = m_context.endpoints.readEnd();
+        digest.listChecksum = m_context.endpoints.listChecksum();
+    }
 }
 
 } // namespace monsoonsail
--- a/servers/endpoints/endpoint_exchange.h
+++ b/servers/endpoints/endpoint_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "servers/endpoints/endpoint_feed.h"
+#include "servers/endpoints/list_comparison.h"
 #include "servers/mesh/mesh.h"
 #include "servers/ports/bulletin_port.h"
 #include "servers/ports/record_log.h"
@@ -38,14 +39,20 @@
     /// Sends the other instances the state of an endpoint that has announced its end to this one.
     void publish(const EndpointId &endpoint, Instant now);
     void handleBulletin(const Bulletin &bulletin, Instant now);
+    /// Handles the fields of a peer's newest digest that concern the list.
+    void handleDigest(const Peer &peer, Instant now);
     /// Sets the fields of a digest that concern the list.
     void fillDigest(Digest &digest, Instant now) const;
 
+    /// Returns how often the known endpoints differed from those of a reader for long.
+    std::uint64_t missedChanges() const { return m_missedChanges; }
     /// Whether this instance reads the store for the others.
     bool isReader() const { return m_follower.isActive(); }
 
 private:
     void updateReaderRole(Instant now);
+    void updateAge(Instant now);
+    void checkForMissedChanges(Instant now);
     void sendBulletin(Instant now);
 
     ServingContext &m_context;
@@ -55,8 +62,10 @@
     EndpointFeed m_feed;
     TopicFollower m_follower;
     ReaderRole m_readerRole;
+    ListComparison m_comparison;
     Instant m_bulletinSentAt;
     std::uint64_t m_bulletinRound = 0;
+    std::uint64_t m_missedChanges = 0;
 };
 
 } // namespace monsoonsail
--- a/servers/endpoints/endpoint_registry.cpp
+++ b/servers/endpoints/endpoint_registry.cpp
@@ -1,5 +1,7 @@
 #include "servers/endpoints/endpoint_registry.h"
 
+#include "core/hash.h"
+
 namespace monsoonsail {
 
 namespace {
@@ -22,8 +24,8 @@
         if (known.listing.startedMs > listing.startedMs)
             return;
         // The instance has restarted, so its earlier incarnation has ended.
-        if (known.state == EndpointState::Ready)
-            setState(known, EndpointState::Unlisted, now);
+        const bool wasReady = known.state == EndpointState::Ready;
+        change(known, wasReady ? EndpointState::Unlisted : known.state, false, now);
     }
     m_currentIncarnations[listing.instance] = id;
     const auto [entry, isNew] = m_endpoints.try_emplace(id);
@@ -38,8 +40,9 @@
     const EndpointState state = listing.isLeaving || endpoint.state == EndpointState::Leaving
             ? EndpointState::Leaving
             : EndpointState::Ready;
-    if (isNew || state != endpoint.state)
-        setState(endpoint, state, now);
+    if (isNew)
+        endpoint.stateSince = now;
+    change(endpoint, state, !listing.isLeaving, now);
 }
 
 void EndpointRegistry::markUnlisted(const std::string &instance, std::uint64_t logOffset,
@@ -52,10 +55,20 @@
     if (endpoint.logOffset > logOffset)
         return;
     endpoint.logOffset = logOffset;
-    if (endpoint.state != EndpointState::Ready)
+    const bool wasReady = endpoint.state == EndpointState::Ready;
+    if (wasReady)
+        endpoint.usableUntil = usableUntil;
+    change(endpoint, wasReady ? EndpointState::Unlisted : endpoint.state, false, now);
+}
+
+void EndpointRegistry::applyListState(const EndpointId &endpoint, std::uint64_t logOffset,
+                                      bool isListed, Instant now)
+{
+    const auto entry = m_endpoints.find(endpoint);
+    if (entry == m_endpoints.end() || entry->second.logOffset > logOffset)
         return;
-    endpoint.usableUntil = usableUntil;
-    setState(endpoint, EndpointState::Unlisted, now);
+    entry->second.logOffset = logOffset;
+    change(entry->second, entry->second.state, isListed, now);
 }
 
 void EndpointRegistry::markLeaving(const EndpointId &endpoint, Instant now,
@@ -66,8 +79,7 @@
         return;
     if (leavesAt)
         entry->second.listing.leavesAt = leavesAt;
-    if (entry->second.state != EndpointState::Leaving)
-        setState(entry->second, EndpointState::Leaving, now);
+    change(entry->second, EndpointState::Leaving, entry->second.isListed, now);
 }
 
 const Endpoint *EndpointRegistry::find(const EndpointId &endpoint) const
@@ -80,7 +92,9 @@
 {
     std::vector<EndpointId> expired;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.state != EndpointState::Ready && endpoint.stateSince + inactiveRetention < now)
+        // While a leaving endpoint is still listed, its next entry would make it ready again.
+        if (endpoint.state != EndpointState::Ready && !endpoint.isListed
+            && endpoint.stateSince + inactiveRetention < now)
             expired.push_back(id);
     }
     for (const EndpointId &id : expired) {
@@ -93,10 +107,18 @@
     return expired;
 }
 
-void EndpointRegistry::setState(Endpoint &endpoint, EndpointState state, Instant now)
+void EndpointRegistry::change(Endpoint &endpoint, EndpointState state, bool isListed, Instant now)
 {
+    if (endpoint.state == state && endpoint.isListed == isListed)
+        return;
+    if (endpoint.state != state)
+        endpoint.stateSince = now;
+    if (endpoint.isListed != isListed) {
+        const std::uint64_t hash = stableHash(endpoint.id.view());
+        m_listChecksum += isListed ? hash : -hash;
+    }
     endpoint.state = state;
-    endpoint.stateSince = now;
+    endpoint.isListed = isListed;
     if (m_observer)
         m_observer(endpoint);
 }
--- a/servers/endpoints/endpoint_registry.h
+++ b/servers/endpoints/endpoint_registry.h
@@ -18,7 +18,7 @@
 class EndpointRegistry
 {
 public:
-    /// Called with each endpoint whose state has changed.
+    /// Called with each endpoint whose state or listing as ready has changed.
     using Observer = std::function<void(const Endpoint &)>;
 
     void setObserver(Observer observer) { m_observer = std::move(observer); }
@@ -30,6 +30,10 @@
     /// The endpoint stays usable until `usableUntil`.
     void markUnlisted(const std::string &instance, std::uint64_t logOffset, Instant usableUntil,
                       Instant now);
+    /// Applies what another entry instance knows from the record at this offset, unless a later
+    /// record is known.
+    void applyListState(const EndpointId &endpoint, std::uint64_t logOffset, bool isListed,
+                        Instant now);
     /// Records that all of the list's log before this offset has been applied: an endpoint listed
     /// there that is not in the registry has been dropped. The offset never decreases.
     void advanceReadEnd(std::uint64_t logOffset) { m_readEnd = std::max(m_readEnd, logOffset); }
@@ -42,18 +46,26 @@
     const Endpoint *find(const EndpointId &endpoint) const;
     /// Whether the record at this offset of the list's log has been read.
     bool hasRead(std::uint64_t logOffset) const { return logOffset < m_readEnd; }
+    /// Returns the end of the part of the list's log that has been read.
+    std::uint64_t readEnd() const { return m_readEnd; }
+    /// Returns a checksum of the endpoints that are listed as ready. It is the same on all entry
+    /// instances that know the same endpoints.
+    std::uint64_t listChecksum() const { return m_listChecksum; }
     /// Returns all known endpoints, ordered by id.
     const std::map<EndpointId, Endpoint> &all() const { return m_endpoints; }
     /// Removes and returns endpoints that have been unlisted or leaving for a long time.
     std::vector<EndpointId> removeExpired(Instant now);
 
 private:
-    void setState(Endpoint &endpoint, EndpointState state, Instant now);
+    /// Sets the state and `isListed` of an endpoint and informs the observer of a change.
+    void change(Endpoint &endpoint, EndpointState state, bool isListed, Instant now);
 
     std::map<EndpointId, Endpoint> m_endpoints;
     /// The newest incarnation of each instance.
     std::map<std::string, EndpointId, std::less<>> m_currentIncarnations;
     std::uint64_t m_readEnd = 0;
+    /// Sum of the hashes of the listed endpoints, so that their order doesn't matter.
+    std::uint64_t m_listChecksum = 0;
     Observer m_observer;
 };
 
--- a/servers/endpoints/endpoint_update.cpp
+++ b/servers/endpoints/endpoint_update.cpp
@@ -2,10 +2,12 @@
 
 namespace monsoonsail {
 
-EndpointUpdate makeEndpointUpdate(const Endpoint &endpoint)
+EndpointUpdate makeEndpointUpdate(const Endpoint &endpoint, Instant now)
 {
     EndpointUpdate update{.listing = endpoint.listing,
                           .state = endpoint.state,
+                          .isListed = endpoint.isListed,
+                          .age = now - endpoint.stateSince,
                           .usableUntil = endpoint.usableUntil};
     update.listing.logOffset = endpoint.logOffset;
     return update;
@@ -44,6 +46,7 @@
         if (!isKnown)
             endpoints.applyListing(listing, now);
         endpoints.markLeaving(id, now, listing.leavesAt);
+        endpoints.applyListState(id, listing.logOffset, update.isListed, now);
         break;
     }
 }
--- a/servers/endpoints/endpoint_update_queue.cpp
+++ b/servers/endpoints/endpoint_update_queue.cpp
@@ -39,7 +39,7 @@
             continue;
         --pending.sendsLeft;
         pending.nextSendAt = now + repeatInterval;
-        updates.push_back(makeEndpointUpdate(*endpoint));
+        updates.push_back(makeEndpointUpdate(*endpoint, now));
     }
 }
 
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -27,6 +27,9 @@
     virtual void recordAttempt(std::string_view service, AttemptResult result) = 0;
     /// Records the start of a call to the platform. `subject` is its topic or duty.
     virtual void recordPlatformCall(std::string_view call, std::string_view subject) = 0;
+    /// Records a change of an endpoint that this instance learned of by a bulletin. `age` is the
+    /// time for which the author of the bulletin had known it when it was sent.
+    virtual void recordEndpointUpdate(Duration age) = 0;
 };
 
 } // namespace monsoonsail
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -37,6 +37,8 @@
                 .isStopping = true,
                 .refusesNewRequests = true,
                 .isReader = true,
+                .listEnd = 4711,
+                .listChecksum = 0xfedcba9876543210,
                 .fencingNumber = 3,
                 .endpointLoads = {{.endpoint = EndpointId("i-1/17"),
                                    .running = 2,
@@ -74,6 +76,8 @@
         CPPUNIT_ASSERT(received->refusesNewRequests && received->isStopping && received->isReader);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{300}, received->endpointLoads.at(0).promptTokens);
         CPPUNIT_ASSERT(received->endpointsAge == sent.endpointsAge);
+        CPPUNIT_ASSERT_EQUAL(sent.listEnd, received->listEnd);
+        CPPUNIT_ASSERT_EQUAL(sent.listChecksum, received->listChecksum);
         CPPUNIT_ASSERT_EQUAL(sent.partCrashes.at(0).part, received->partCrashes.at(0).part);
         CPPUNIT_ASSERT(received->partCrashes.at(0).endpoint == sent.partCrashes.at(0).endpoint);
         CPPUNIT_ASSERT(received->endpointLimits.at(0).perSecond == 1.5);
--- a/tests/drivers/prometheus_metrics_test.cpp
+++ b/tests/drivers/prometheus_metrics_test.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(PrometheusMetricsTest);
     CPPUNIT_TEST(answersFillHistogramsByRouteAndAccount);
+    CPPUNIT_TEST(delaysFillHistograms);
     CPPUNIT_TEST(refusalsAreCountedByAccountAndKind);
     CPPUNIT_TEST(gaugeKeepsItsNewestValue);
     CPPUNIT_TEST_SUITE_END();
@@ -40,6 +41,14 @@
         assertHas(R"(monsoonsail_longest_pause_seconds_count{route="lookup"} 1)");
     }
 
+    void delaysFillHistograms()
+    {
+        m_metrics.recordEndpointUpdate(milliseconds(350));
+        m_metrics.recordLoopDelay(milliseconds(5));
+        assertHas(R"(monsoonsail_endpoint_update_seconds_bucket{le="0.35"} 1)");
+        assertHas(R"(monsoonsail_loop_delay_seconds_bucket{le="0.01"} 1)");
+    }
+
     void refusalsAreCountedByAccountAndKind()
     {
         m_metrics.recordRefusal("club", ErrorKind::NoEndpoint);
--- a/tests/servers/endpoint_update_test.cpp
+++ b/tests/servers/endpoint_update_test.cpp
@@ -53,7 +53,7 @@
         m_now += milliseconds(50);
         for (const auto &[id, endpoint] : from.all())
             if (endpoint.stateSince >= m_now - milliseconds(1500))
-                applyEndpointUpdate(makeEndpointUpdate(endpoint), {}, to, m_now);
+                applyEndpointUpdate(makeEndpointUpdate(endpoint, m_now), {}, to, m_now);
     }
 
 public:
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -21,6 +21,7 @@
         refusals.push_back(kind);
     }
     void recordPlatformCall(std::string_view /*call*/, std::string_view /*subject*/) override { }
+    void recordEndpointUpdate(Duration /*age*/) override { }
     void recordAttempt(std::string_view /*service*/, AttemptResult /*result*/) override
     {
         ++attempts;
