Don't take a cut-off read of the store for the end of its changes

Not shown to be what the users saw.

Cause: the store ends a response at 1 MB; the decoder skipped the end of the partition, and TopicFollower took each answer for all changes up to its start.

A small response that ends before the partition is not taken as cut off: records may be appended while it is written.

--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -89,7 +89,8 @@
             m_sink.onKeyRemoved(key, lastOffset, now);
     }
     m_nextOffset = records.end;
-    m_sink.onCaughtUp(records.end, m_readStartedAt, now);
+    m_asOf = m_readStartedAt;
+    m_sink.onCaughtUp(records.end, m_asOf, now);
     finishSuccessfulRead();
 }
 
@@ -127,10 +128,10 @@
     m_nextOffset = records.end;
     // A read without records has waited for the whole long poll time, so it covers that time.
     const bool reachedTimeout = records.records.empty();
-    m_sink.onCaughtUp(records.end,
-                      reachedTimeout ? std::min(m_readStartedAt + m_timing.longPollTime, now)
-                                     : m_readStartedAt,
-                      now);
+    if (!records.isCutOff)
+        m_asOf = reachedTimeout ? std::min(m_readStartedAt + m_timing.longPollTime, now)
+                                : m_readStartedAt;
+    m_sink.onCaughtUp(records.end, m_asOf, now);
     finishSuccessfulRead();
 }
 
--- a/servers/store/topic_follower.h
+++ b/servers/store/topic_follower.h
@@ -85,6 +85,7 @@
     DecisionLog &m_decisions;
     std::optional<LogOffset> m_nextOffset; ///< Empty before the newest records have been read.
     Instant m_readStartedAt;               ///< Start of the current or last read.
+    Instant m_asOf;                        ///< All changes up to this instant have been passed on.
     unsigned m_failures = 0;               ///< Number of consecutive failed reads.
     bool m_active = true;
     bool m_isReading = false;          ///< Whether a read is in progress.
--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(recordWithoutKeyIsFramed);
     CPPUNIT_TEST(encodedRecordsAreDecoded);
     CPPUNIT_TEST(deletedKeyHasAnEmptyValue);
+    CPPUNIT_TEST(responseOfMaximumSizeIsCutOff);
     CPPUNIT_TEST(emptyResponseEndsAtItsStart);
     CPPUNIT_TEST(truncatedResponsesAreRejected);
     CPPUNIT_TEST(contentShorterThanItsKeyHasNoKey);
@@ -66,6 +67,15 @@
         CPPUNIT_ASSERT(records->records.front().value.empty());
     }
 
+    void responseOfMaximumSizeIsCutOff()
+    {
+        const std::string record = encodeRecord("t", "", std::string(600UL * 1024, 'x'));
+        const std::string small = encodeRecord("t", "", "x");
+        CPPUNIT_ASSERT(decodeRecords("t", 5, readResponse(record))->isCutOff);
+        CPPUNIT_ASSERT(!decodeRecords("t", 8, readResponse(record))->isCutOff);
+        CPPUNIT_ASSERT(!decodeRecords("t", 5, readResponse(small))->isCutOff);
+    }
+
     void emptyResponseEndsAtItsStart()
     {
         const auto records = decodeRecords("t", 5, readResponse(""));
--- a/tests/servers/memory_log.h
+++ b/tests/servers/memory_log.h
@@ -3,6 +3,7 @@
 #include "core/store_error.h"
 #include "servers/ports/record_log.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -29,6 +30,11 @@
             }
             for (LogOffset offset = from; offset < all.size(); ++offset)
                 records.records.push_back(all.at(offset));
+            if (records.records.size() > maxRecordsPerRead) {
+                records.records.resize(maxRecordsPerRead);
+                records.end = from + maxRecordsPerRead;
+                records.isCutOff = true;
+            }
             done({}, records);
         });
     }
@@ -88,6 +94,7 @@
     bool losesAnswers = false;              ///< Appends are stored but fail as unreachable.
     /// Called with the topic of each stored record, before the append is answered.
     std::function<void(const std::string &)> onAppended;
+    std::size_t maxRecordsPerRead = SIZE_MAX;
     int reads = 0;
     int newestReads = 0;
     int appends = 0;
--- a/tests/servers/topic_follower_test.cpp
+++ b/tests/servers/topic_follower_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(followsChangesAndRemovals);
     CPPUNIT_TEST(startsOverWhenRecordsHaveExpired);
     CPPUNIT_TEST(continuesAfterAnOutage);
+    CPPUNIT_TEST(readThatIsCutOffDoesNotCountAsCaughtUp);
     CPPUNIT_TEST(passiveFollowerReadsRarely);
     CPPUNIT_TEST(passiveFollowerRefreshesWhenAsked);
     CPPUNIT_TEST(refreshDoesNotShortenRetryDelays);
@@ -140,6 +141,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), m_sink.values["b"]);
     }
 
+    // A reader that had a long log to read announced its data as recent after the first part.
+    void readThatIsCutOffDoesNotCountAsCaughtUp()
+    {
+        const Instant before = m_sink.asOf;
+        m_store.maxRecordsPerRead = 1;
+        appendRecord("b", "2");
+        appendRecord("c", "3");
+        advance(milliseconds(250));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), m_sink.values["b"]);
+        CPPUNIT_ASSERT(!m_sink.values.contains("c"));
+        CPPUNIT_ASSERT(m_sink.asOf == before);
+        advance(milliseconds(250));
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), m_sink.values["c"]);
+        CPPUNIT_ASSERT(m_sink.asOf > before);
+    }
+
     void passiveFollowerReadsRarely()
     {
         m_follower->setActive(false);
