Play the exchange of endpoint updates in virtual time

SimulatedFleet runs dozens of entry instances in one process, without sockets: the real EndpointExchange, Mesh, InstanceDiscovery and pause detector of each, a store with latency and long polls, a network with loss and cuts, freezes, kills, and endpoints that renew their entries, leave and are dropped. It records each use of an endpoint later than the drain time after the store has accepted the record of its end.

--- /dev/null
+++ b/tests/servers/endpoint_exchange_test.cpp
@@ -0,0 +1,285 @@
+#include "tests/servers/random_fault_plan.h"
+#include "tests/servers/simulated_fleet.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <iomanip>
+#include <iostream>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace monsoonsail;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Guards the rule that an instance in touch uses no endpoint later than the drain time after the
+/// store has accepted the record of its end, whatever is lost, killed, frozen or cut.
+class EndpointExchangeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EndpointExchangeTest);
+    CPPUNIT_TEST(missedBulletinsAmongFive);
+    CPPUNIT_TEST(missedBulletinsAmong45);
+    CPPUNIT_TEST(missedBulletinsAmong118);
+    CPPUNIT_TEST(readersRestartBeforeTheirBulletinsAmongFive);
+    CPPUNIT_TEST(readersRestartBeforeTheirBulletinsAmong45);
+    CPPUNIT_TEST(readersRestartBeforeTheirBulletinsAmong118);
+    CPPUNIT_TEST(readersEndBeforeTheirBulletinsAmongFive);
+    CPPUNIT_TEST(readersEndBeforeTheirBulletinsAmong45);
+    CPPUNIT_TEST(readersEndBeforeTheirBulletinsAmong118);
+    CPPUNIT_TEST(missedDropOfAnEndpointKnownFromABulletin);
+    CPPUNIT_TEST(relayZoneIsKilledBeforeALeave);
+    CPPUNIT_TEST(relayZoneOfTheReadersIsKilledBeforeALeave);
+    CPPUNIT_TEST(randomFaults);
+    CPPUNIT_TEST(readsWithoutFaults);
+    CPPUNIT_TEST(readsWithChurn);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Duration drainTime = seconds(4);
+    static constexpr Duration settleTime = seconds(8);
+    /// From the end of the drain time until all changes of state have shown their effect.
+    static constexpr Duration margin = seconds(2);
+    static constexpr unsigned endpointCount = 30;
+
+    static SimulatedFleet::Options sized(unsigned instances)
+    {
+        return {.instances = instances, .drainTime = drainTime};
+    }
+
+    /// Starts the endpoints and waits until all instances know them and have just read the list, so
+    /// that their own next read is far. Returns the id of "e0".
+    static EndpointId settle(SimulatedFleet &fleet)
+    {
+        const EndpointId first = fleet.endpoints().start("e0");
+        for (unsigned index = 1; index < endpointCount; ++index)
+            fleet.endpoints().start("e" + std::to_string(index));
+        fleet.advance(settleTime);
+        for (const std::string &name : fleet.names())
+            fleet.process(name)->refresh();
+        fleet.advance(seconds(1));
+        CPPUNIT_ASSERT(fleet.isUsedEverywhere(first));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, readers(fleet).size());
+        return first;
+    }
+
+    static std::set<std::string> readers(SimulatedFleet &fleet)
+    {
+        std::set<std::string> names;
+        for (const std::string &name : fleet.names()) {
+            if (fleet.process(name) != nullptr && fleet.process(name)->isReader())
+                names.insert(name);
+        }
+        return names;
+    }
+
+    static std::string describe(const std::vector<LateUse> &lateUses)
+    {
+        std::ostringstream text;
+        text << std::fixed << std::setprecision(1) << lateUses.size() << " late uses";
+        constexpr std::size_t maxShown = 3;
+        for (const LateUse &use : lateUses) {
+            if (&use - lateUses.data() >= static_cast<std::ptrdiff_t>(maxShown))
+                break;
+            text << "; " << use.instance << " used " << use.endpoint.value() << " until "
+                 << toSeconds(use.lastAt - use.endedAt) << " s after its end, allowed "
+                 << toSeconds(use.allowed) << " s";
+        }
+        return text.str();
+    }
+
+    static void checkLateUses(const SimulatedFleet &fleet)
+    {
+        CPPUNIT_ASSERT_MESSAGE(describe(fleet.lateUses()), fleet.lateUses().empty());
+    }
+
+    static void missBulletins(unsigned instances)
+    {
+        SimulatedFleet fleet(sized(instances));
+        settle(fleet);
+        const std::string victim = fleet.names().back();
+        CPPUNIT_ASSERT(!fleet.process(victim)->isReader());
+        fleet.network().setDropFilter([victim](const MeshDatagram &datagram) {
+            return datagram.bulletin != nullptr && datagram.to == victim;
+        });
+        fleet.endpoints().leave("e0");
+        fleet.advance(drainTime + margin);
+        checkLateUses(fleet);
+    }
+
+    static void endReadersBeforeTheirBulletins(unsigned instances, std::optional<Duration> restart)
+    {
+        SimulatedFleet fleet(sized(instances));
+        settle(fleet);
+        const std::set<std::string> names = readers(fleet);
+        fleet.endpoints().leave("e0");
+        // The answer with the record has not reached the readers yet.
+        fleet.advance(microseconds(100));
+        for (const std::string &name : names) {
+            fleet.kill(name);
+            if (restart)
+                fleet.after(*restart, [&fleet, name] { fleet.start(name); });
+        }
+        fleet.advance(drainTime + margin);
+        checkLateUses(fleet);
+    }
+
+    static void killRelayZone(const ZoneId &zone)
+    {
+        SimulatedFleet fleet(sized(118));
+        settle(fleet);
+        const std::vector<std::string> killed = fleet.namesIn(zone);
+        for (const std::string &name : killed) {
+            fleet.kill(name);
+            fleet.after(seconds(3), [&fleet, name] { fleet.start(name); });
+        }
+        // One instance is back soon, while the readers still take the others of its zone for live.
+        const std::string &survivor = killed.back();
+        fleet.after(milliseconds(200), [&] { fleet.start(survivor); });
+        fleet.advance(seconds(1));
+        for (unsigned index = 0; index < 5; ++index) {
+            fleet.endpoints().leave("e" + std::to_string(index));
+            fleet.advance(milliseconds(100));
+        }
+        fleet.advance(drainTime + margin);
+        checkLateUses(fleet);
+    }
+
+    static std::string playSeed(std::uint64_t seed)
+    {
+        const SimulatedFleet::Options options = RandomFaultPlan::options(seed);
+        SimulatedFleet fleet(options);
+        RandomFaultPlan(fleet, options).play();
+        if (fleet.lateUses().empty())
+            return {};
+        return "\n  seed " + std::to_string(seed) + ", " + std::to_string(options.instances)
+                + " instances: " + describe(fleet.lateUses());
+    }
+
+    /// Returns the seeds of MONSOONSAIL_EXCHANGE_SEEDS=FIRST-LAST, or a few.
+    static std::vector<std::uint64_t> seeds()
+    {
+        const char *range = std::getenv("MONSOONSAIL_EXCHANGE_SEEDS");
+        std::uint64_t first = 1;
+        std::uint64_t last = 12;
+        char dash = '-';
+        if (range != nullptr)
+            std::istringstream(range) >> first >> dash >> last;
+        std::vector<std::uint64_t> seeds;
+        for (std::uint64_t seed = first; seed <= last; ++seed)
+            seeds.push_back(seed);
+        return seeds;
+    }
+
+    /// Checks that all instances together read the list no more often in a minute than two
+    /// followers, one call each 0.2 s, and one read of each instance every 10 s or, among more than
+    /// 20 instances, in proportion to their number.
+    static void checkReads(unsigned instances, bool hasChurn)
+    {
+        constexpr std::uint64_t secondsPlayed = 60;
+        constexpr std::uint64_t followerReads = 2 * secondsPlayed * 5;
+        SimulatedFleet fleet(sized(instances));
+        settle(fleet);
+        const std::uint64_t before = fleet.listReads();
+        unsigned started = endpointCount;
+        for (std::uint64_t second = 0; second < secondsPlayed; ++second) {
+            if (hasChurn) {
+                fleet.endpoints().start("e" + std::to_string(started++));
+                fleet.endpoints().leave(fleet.endpoints().running().front());
+            }
+            fleet.advance(seconds(1));
+        }
+        const std::uint64_t reads = fleet.listReads() - before;
+        const double interval = std::max(10.0, 10.0 * instances / 20);
+        const auto passiveReads = static_cast<std::uint64_t>(secondsPlayed / interval) + 1;
+        const std::uint64_t bound = followerReads + instances * passiveReads;
+        std::ostringstream text;
+        text << "reads of the list in 60 s: " << reads << " by " << instances << " instances"
+             << (hasChurn ? " with churn" : "") << ", at most " << bound;
+        std::cout << "\n  " << text.str() << std::flush;
+        CPPUNIT_ASSERT_MESSAGE(text.str(), reads <= bound);
+        checkLateUses(fleet);
+    }
+
+public:
+    void missedBulletinsAmongFive() { missBulletins(5); }
+    void missedBulletinsAmong45() { missBulletins(45); }
+    void missedBulletinsAmong118() { missBulletins(118); }
+
+    void readersRestartBeforeTheirBulletinsAmongFive()
+    {
+        endReadersBeforeTheirBulletins(5, milliseconds(100));
+    }
+    void readersRestartBeforeTheirBulletinsAmong45()
+    {
+        endReadersBeforeTheirBulletins(45, milliseconds(100));
+    }
+    void readersRestartBeforeTheirBulletinsAmong118()
+    {
+        endReadersBeforeTheirBulletins(118, milliseconds(100));
+    }
+    void readersEndBeforeTheirBulletinsAmongFive()
+    {
+        endReadersBeforeTheirBulletins(5, std::nullopt);
+    }
+    void readersEndBeforeTheirBulletinsAmong45()
+    {
+        endReadersBeforeTheirBulletins(45, std::nullopt);
+    }
+    void readersEndBeforeTheirBulletinsAmong118()
+    {
+        endReadersBeforeTheirBulletins(118, std::nullopt);
+    }
+
+    // A whole read must also remove what only a bulletin has added.
+    void missedDropOfAnEndpointKnownFromABulletin()
+    {
+        SimulatedFleet fleet(sized(5));
+        settle(fleet);
+        const std::string victim = fleet.names().back();
+        const EndpointId added = fleet.endpoints().start("added");
+        fleet.advance(seconds(1));
+        CPPUNIT_ASSERT(!fleet.process(victim)->isReader());
+        CPPUNIT_ASSERT(fleet.process(victim)->isUsable(added));
+        fleet.network().setDropFilter([victim](const MeshDatagram &datagram) {
+            return datagram.bulletin != nullptr && datagram.to == victim;
+        });
+        fleet.endpoints().drop("added");
+        fleet.advance(seconds(1));
+        fleet.process(victim)->refresh();
+        fleet.advance(seconds(1));
+        CPPUNIT_ASSERT(!fleet.process(victim)->isUsable(added));
+    }
+
+    void relayZoneIsKilledBeforeALeave() { killRelayZone(ZoneId("c")); }
+    void relayZoneOfTheReadersIsKilledBeforeALeave() { killRelayZone(ZoneId("a")); }
+
+    // All of the above mixed.
+    void randomFaults()
+    {
+        std::string failures;
+        for (const std::uint64_t seed : seeds())
+            failures += playSeed(seed);
+        CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+    }
+
+    void readsWithoutFaults()
+    {
+        for (const unsigned instances : {5U, 45U, 118U})
+            checkReads(instances, false);
+    }
+
+    void readsWithChurn()
+    {
+        for (const unsigned instances : {5U, 45U, 118U})
+            checkReads(instances, true);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointExchangeTest);
--- /dev/null
+++ b/tests/servers/simulated_fleet.cpp
@@ -0,0 +1,209 @@
+#include "tests/servers/simulated_fleet.h"
+
+#include <algorithm>
+
+namespace monsoonsail {
+
+namespace {
+
+constexpr unsigned zoneCount = 4;
+constexpr double maxStartDelayMs = 500;
+constexpr Duration checkInterval = std::chrono::milliseconds(100);
+/// Entries that lapsed during an outage may stay in use for this long after it, see platform.md.
+constexpr Duration lapseAllowance = std::chrono::seconds(2);
+
+constexpr std::uint64_t networkSeed = 1'000'003;
+constexpr std::uint64_t endpointSeed = 2'000'003;
+
+} // namespace
+
+SimulatedFleet::SimulatedFleet(const Options &options)
+    : m_options(options)
+    , m_store(m_scheduler)
+    , m_network(m_scheduler, options.seed * networkSeed)
+    , m_endpoints(m_store, m_scheduler, options.drainTime, options.seed * endpointSeed)
+{
+    m_network.setReceiver([this](const MeshDatagram &datagram) {
+        const auto slot = m_slots.find(datagram.to);
+        if (slot != m_slots.end() && slot->second.process)
+            slot->second.process->receive(datagram);
+    });
+    RandomSource random(options.seed);
+    // Instances are named after their zones, so the two that read the store are in one zone.
+    for (unsigned index = 0; index < options.instances; ++index) {
+        const std::string zone(1, static_cast<char>('a' + index % zoneCount));
+        const std::string name = zone + "-" + std::to_string(100 + index / zoneCount);
+        m_slots[name] = {.zone = ZoneId(zone),
+                         .clockOffset =
+                                 fromMs(toMs(options.maxClockOffset) * (random.fraction() - 0.5)),
+                         .inTouchSince = now(),
+                         .lastCutAt = Instant::min()};
+        after(fromMs(random.fraction() * maxStartDelayMs), [this, name] { start(name); });
+    }
+    for (const auto &[name, slot] : m_slots)
+        m_names.push_back(name);
+    checkUses();
+}
+
+void SimulatedFleet::advance(Duration duration)
+{
+    m_scheduler.runUntil(now() + duration);
+}
+
+void SimulatedFleet::after(Duration delay, std::function<void()> action)
+{
+    m_scheduler.at(now() + delay, std::move(action));
+}
+
+std::vector<std::string> SimulatedFleet::namesIn(const ZoneId &zone) const
+{
+    std::vector<std::string> names;
+    std::ranges::copy_if(m_names, std::back_inserter(names),
+                         [&](const std::string &name) { return zoneOf(name) == zone; });
+    return names;
+}
+
+bool SimulatedFleet::isUsedAnywhere(const EndpointId &endpoint) const
+{
+    return std::ranges::any_of(m_slots, [&endpoint](const auto &entry) {
+        return entry.second.process && entry.second.process->isUsable(endpoint);
+    });
+}
+
+bool SimulatedFleet::isUsedEverywhere(const EndpointId &endpoint) const
+{
+    return std::ranges::all_of(m_slots, [&endpoint](const auto &entry) {
+        return !entry.second.process || entry.second.process->isUsable(endpoint);
+    });
+}
+
+void SimulatedFleet::kill(const std::string &name)
+{
+    Slot &slot = m_slots.at(name);
+    if (!slot.process)
+        return;
+    slot.process->end();
+    m_endedProcesses.push_back(std::move(slot.process));
+}
+
+void SimulatedFleet::start(const std::string &name)
+{
+    Slot &slot = m_slots.at(name);
+    if (slot.process)
+        return;
+    const std::string incarnation =
+            name + "." + std::to_string(++slot.starts) + "." + std::to_string(m_options.seed);
+    slot.process = std::make_unique<SimulatedInstance>(
+            SimulatedInstance::Identity{.name = name,
+                                        .incarnation = incarnation,
+                                        .zone = slot.zone,
+                                        .clockOffset = slot.clockOffset},
+            m_options.drainTime, m_scheduler, m_store, slot.storeState, m_network);
+    markBackInTouch(slot);
+    slot.process->start();
+}
+
+void SimulatedFleet::freeze(const std::string &name)
+{
+    if (SimulatedInstance *frozen = process(name))
+        frozen->freeze();
+}
+
+void SimulatedFleet::resume(const std::string &name)
+{
+    SimulatedInstance *frozen = process(name);
+    if (frozen == nullptr || !frozen->isFrozen())
+        return;
+    markBackInTouch(m_slots.at(name));
+    frozen->resume();
+}
+
+void SimulatedFleet::setStoreState(StoreState state)
+{
+    m_store.setState(state);
+    for (auto &[name, slot] : m_slots)
+        markBackInTouch(slot);
+}
+
+void SimulatedFleet::setStoreState(const std::string &name, StoreState state)
+{
+    Slot &slot = m_slots.at(name);
+    slot.storeState = state;
+    markBackInTouch(slot);
+}
+
+void SimulatedFleet::setCut(const std::string &name, bool outgoing, bool incoming)
+{
+    m_network.setOutgoingCut(name, outgoing);
+    m_network.setIncomingCut(name, incoming);
+    if (outgoing || incoming)
+        m_slots.at(name).lastCutAt = now();
+}
+
+void SimulatedFleet::setLinkCut(const std::string &from, const std::string &to, bool isCut)
+{
+    m_network.setLinkCut(from, to, isCut);
+    if (!isCut)
+        return;
+    m_slots.at(from).lastCutAt = now();
+    m_slots.at(to).lastCutAt = now();
+}
+
+std::uint64_t SimulatedFleet::listReads() const
+{
+    return m_store.readCount(std::string(IncarnationCodec::endpoints));
+}
+
+// From design.md: an instance that receives no digest from a reader reads the store itself. Three
+// missing digests show that, to which come the network's delay, a tick, the delay by rank and the
+// longest call. Readers send a digest every 0.25 s, among more than 40 instances in proportion to
+// their number up to 0.5 s.
+Duration SimulatedFleet::cutDetectionTime() const
+{
+    constexpr Duration minInterval = std::chrono::milliseconds(250);
+    constexpr Duration maxInterval = std::chrono::milliseconds(500);
+    constexpr Duration networkDelay = std::chrono::milliseconds(3 * 50);
+    constexpr Duration tick = std::chrono::milliseconds(100);
+    constexpr Duration rankDelay = std::chrono::milliseconds(600);
+    constexpr Duration call = std::chrono::milliseconds(800);
+    const Duration interval =
+            std::clamp(minInterval * m_options.instances / 40, minInterval, maxInterval);
+    return 3 * interval + networkDelay + tick + rankDelay + call;
+}
+
+void SimulatedFleet::checkUses()
+{
+    after(checkInterval, [this] { checkUses(); });
+    if (m_store.state() != StoreState::Running)
+        return;
+    for (const auto &[endpoint, endedAt] : m_endpoints.endedAt()) {
+        if (endedAt + m_options.drainTime >= now())
+            continue;
+        for (const auto &[name, slot] : m_slots)
+            checkUse(name, slot, endpoint, endedAt);
+    }
+}
+
+void SimulatedFleet::checkUse(const std::string &name, const Slot &slot, const EndpointId &endpoint,
+                              Instant endedAt)
+{
+    if (!slot.process || slot.process->isFrozen() || slot.storeState != StoreState::Running
+        || !slot.process->isUsable(endpoint))
+        return;
+    Instant until = std::max(endedAt + m_options.drainTime,
+                             slot.inTouchSince + std::max(m_options.drainTime, lapseAllowance));
+    if (slot.lastCutAt != Instant::min())
+        until = std::max(until, slot.lastCutAt + cutDetectionTime());
+    if (until >= now())
+        return;
+    const auto [entry, isNew] = m_lateUseIndices.try_emplace({name, endpoint}, m_lateUses.size());
+    if (isNew) {
+        m_lateUses.push_back({.instance = name,
+                              .endpoint = endpoint,
+                              .endedAt = endedAt,
+                              .allowed = until - endedAt});
+    }
+    m_lateUses.at(entry->second).lastAt = now();
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/servers/simulated_fleet.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "tests/servers/late_use.h"
+#include "tests/servers/simulated_endpoints.h"
+#include "tests/servers/simulated_instance.h"
+#include "tests/servers/simulated_network.h"
+#include "tests/servers/simulated_store.h"
+#include "tests/servers/virtual_scheduler.h"
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace monsoonsail {
+
+/// Entry instances in four availability zones with their store, network and endpoints, in virtual
+/// time. Records each use of an endpoint that breaks the rule: an instance in touch uses no
+/// endpoint later than the drain time after the store has accepted the record of its end.
+///
+/// An instance is in touch while its process runs and reaches the store. The drain time counts anew
+/// from the end of a freeze, a restart or an outage. A cut gives no more time than
+/// cutDetectionTime() after its start.
+class SimulatedFleet
+{
+public:
+    struct Options
+    {
+        unsigned instances = 5;
+        Duration drainTime = std::chrono::seconds(4);
+        std::uint64_t seed = 1;
+        /// Bound of the difference between the clocks of two instances.
+        Duration maxClockOffset = std::chrono::seconds(30);
+    };
+
+    explicit SimulatedFleet(const Options &options);
+
+    void advance(Duration duration);
+    /// Runs `action` after the given time.
+    void after(Duration delay, std::function<void()> action);
+    Instant now() const { return m_scheduler.now(); }
+
+    SimulatedStore &store() { return m_store; }
+    SimulatedNetwork &network() { return m_network; }
+    SimulatedEndpoints &endpoints() { return m_endpoints; }
+
+    /// Names of the instances, those that run and those that don't. The first two read the store.
+    const std::vector<std::string> &names() const { return m_names; }
+    std::vector<std::string> namesIn(const ZoneId &zone) const;
+    ZoneId zoneOf(const std::string &name) const { return m_slots.at(name).zone; }
+    /// The running process, or nullptr.
+    SimulatedInstance *process(const std::string &name) { return m_slots.at(name).process.get(); }
+    bool isUsedAnywhere(const EndpointId &endpoint) const;
+    bool isUsedEverywhere(const EndpointId &endpoint) const;
+
+    void kill(const std::string &name);
+    void start(const std::string &name);
+    void freeze(const std::string &name);
+    void resume(const std::string &name);
+    /// Sets the state of the whole store, or of the store as seen by one instance.
+    void setStoreState(StoreState state);
+    void setStoreState(const std::string &name, StoreState state);
+    /// Cuts or restores one or both directions between an instance and all others.
+    void setCut(const std::string &name, bool outgoing, bool incoming);
+    void setLinkCut(const std::string &from, const std::string &to, bool isCut);
+
+    const std::vector<LateUse> &lateUses() const { return m_lateUses; }
+    std::uint64_t listReads() const;
+    /// Time after the start of a cut within which an instance must read the store itself.
+    Duration cutDetectionTime() const;
+
+private:
+    struct Slot
+    {
+        ZoneId zone;
+        Duration clockOffset{};
+        StoreState storeState = StoreState::Running;
+        unsigned starts = 0;
+        std::unique_ptr<SimulatedInstance> process; ///< Null while it does not run.
+        Instant inTouchSince;
+        Instant lastCutAt;
+    };
+
+    void checkUses();
+    void checkUse(const std::string &name, const Slot &slot, const EndpointId &endpoint,
+                  Instant endedAt);
+    void markBackInTouch(Slot &slot) { slot.inTouchSince = now(); }
+
+    const Options m_options;
+    VirtualScheduler m_scheduler;
+    SimulatedStore m_store;
+    SimulatedNetwork m_network;
+    SimulatedEndpoints m_endpoints;
+    std::vector<std::string> m_names;
+    std::map<std::string, Slot> m_slots;
+    /// Ended processes; the scheduler still has tasks of theirs, which do nothing.
+    std::vector<std::unique_ptr<SimulatedInstance>> m_endedProcesses;
+    std::vector<LateUse> m_lateUses;
+    std::map<std::pair<std::string, EndpointId>, std::size_t> m_lateUseIndices;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/servers/simulated_instance.cpp
@@ -0,0 +1,158 @@
+#include "tests/servers/simulated_instance.h"
+
+#include "core/hash.h"
+#include "drivers/mesh/bulletin_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+/// As in ControlPlane.
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
+constexpr TopicFollower::Timing configurationTiming{.longPollTime = std::chrono::milliseconds(1000),
+                                                    .minInterval = std::chrono::milliseconds(50),
+                                                    .passiveInterval =
+                                                            EndpointExchange::passiveInterval};
+
+ServingLimits limits(Duration drainTime)
+{
+    return {.repeats = {.ratio = 0.2, .slack = 50, .window = std::chrono::seconds(10)},
+            .drainTime = drainTime};
+}
+
+} // namespace
+
+SimulatedInstance::SimulatedInstance(const Identity &identity, Duration drainTime,
+                                     VirtualScheduler &scheduler, SimulatedStore &store,
+                                     const StoreState &storeState, SimulatedNetwork &network)
+    : m_identity(identity)
+    , m_scheduler(scheduler)
+    , m_network(network)
+    , m_gate(std::make_shared<ProcessGate>())
+    , m_context(limits(drainTime), identity.zone, identity.incarnation, m_traffic, m_log, m_metrics)
+    , m_storeClient(store, scheduler, identity.clockOffset, stableHash(identity.incarnation),
+                    storeState, m_gate)
+    , m_configurationAge(m_context)
+    , m_configurationFollower(std::string(m_codec.configurationTopic()), configurationTiming,
+                              m_storeClient, m_configurationAge, makeScheduler(), m_log)
+    , m_mesh(identity.name, identity.name)
+    , m_exchange(m_identity.name, m_context, m_codec, m_storeClient, m_mesh, *this, makeScheduler())
+    , m_discovery(identity.name, identity.name, m_storeClient, m_mesh, [this] { return now(); })
+{ }
+
+TopicFollower::Scheduler SimulatedInstance::makeScheduler()
+{
+    return {.now = [this] { return now(); },
+            .at = [this](Instant at,
+                         std::function<void()> task) { after(at - now(), std::move(task)); }};
+}
+
+void SimulatedInstance::after(Duration delay, std::function<void()> task)
+{
+    m_scheduler.at(m_scheduler.now() + delay,
+                   [gate = m_gate, task = std::move(task)] { gate->passTimer(task); });
+}
+
+void SimulatedInstance::start()
+{
+    m_configurationFollower.start();
+    m_exchange.start();
+    tick();
+    sendDigest();
+}
+
+// The order of the steps is that of ControlPlane::tick().
+void SimulatedInstance::tick()
+{
+    after(tickInterval, [this] { tick(); });
+    if (m_pauseDetector.detectPause(now())) {
+        m_exchange.refresh();
+        m_configurationFollower.refresh();
+    }
+    m_mesh.expire(now());
+    m_exchange.advance(now());
+    updateConfigurationReading();
+    m_discovery.advance();
+}
+
+void SimulatedInstance::updateConfigurationReading()
+{
+    m_configurationFollower.setActive(isReader());
+    m_configurationFollower.setPassiveInterval(
+            m_mesh.scaledInterval(EndpointExchange::passiveInterval));
+    if (isReader())
+        return;
+    for (const auto &[name, peer] : m_mesh.peers()) {
+        if (Mesh::isLive(peer, now()) && peer.digest.isReader) {
+            m_context.configurationAsOf = std::max(m_context.configurationAsOf,
+                                                   peer.receivedAt - peer.digest.configurationAge);
+        }
+    }
+}
+
+void SimulatedInstance::sendDigest()
+{
+    after(m_mesh.digestInterval(isReader()), [this] { sendDigest(); });
+    broadcastDigest();
+}
+
+// Without the addresses of peers, which would take most of the test's time: the instances find each
+// other through the store.
+void SimulatedInstance::broadcastDigest()
+{
+    const Instant sentAt = now();
+    Digest digest{.instance = m_identity.name,
+                  .incarnation = m_identity.incarnation,
+                  .address = m_identity.name,
+                  .zone = m_identity.zone,
+                  .sequence = ++m_digestsSent,
+                  .sentAt = sentAt,
+                  .interval = m_mesh.digestInterval(isReader()),
+                  .configurationAge = sentAt - m_context.configurationAsOf};
+    m_exchange.fillDigest(digest, sentAt);
+    const auto shared = std::make_shared<const Digest>(std::move(digest));
+    for (const std::string &target : m_mesh.targets(sentAt))
+        m_network.send({.from = m_identity.name, .to = target, .digest = shared});
+}
+
+void SimulatedInstance::receive(const MeshDatagram &datagram)
+{
+    m_gate->passDatagram([this, datagram] {
+        if (datagram.digest)
+            handleDigest(*datagram.digest);
+        else
+            handleBulletin(*datagram.bulletin);
+    });
+}
+
+// What the exchange concludes from a digest belongs after applyDigest().
+void SimulatedInstance::handleDigest(const Digest &digest)
+{
+    const Peer *peer = m_mesh.applyDigest(digest, now());
+    if (peer == nullptr)
+        return;
+}
+
+void SimulatedInstance::handleBulletin(std::string_view bytes)
+{
+    if (const auto bulletin = decodeBulletin(bytes))
+        m_exchange.handleBulletin(*bulletin, now());
+}
+
+void SimulatedInstance::send(const Bulletin &bulletin, std::span<const std::string> targets)
+{
+    const auto bytes = std::make_shared<const std::string>(encodeBulletin(bulletin));
+    for (const std::string &target : targets)
+        m_network.send({.from = m_identity.name, .to = target, .bulletin = bytes});
+}
+
+bool SimulatedInstance::isUsable(const EndpointId &id) const
+{
+    const Endpoint *endpoint = m_context.endpoints.find(id);
+    return endpoint != nullptr && endpoint->isUsable(now());
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/servers/simulated_store.cpp
@@ -0,0 +1,120 @@
+#include "tests/servers/simulated_store.h"
+
+#include "core/store_error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonsail {
+
+SimulatedStore::SimulatedStore(VirtualScheduler &scheduler)
+    : m_scheduler(scheduler)
+{ }
+
+void SimulatedStore::setState(StoreState state)
+{
+    m_state = state;
+    if (state == StoreState::Running)
+        return;
+    for (const WaitingRead &read : std::exchange(m_waitingReads, {}))
+        accepts(read.answer);
+}
+
+LogOffset SimulatedStore::append(const std::string &topicName, const std::string &key,
+                                 const std::string &value)
+{
+    Topic &topic = m_topics[topicName];
+    const LogRecord record{.offset = topic.end(), .key = key, .value = value};
+    topic.records.push_back(record);
+    topic.acceptedAt.push_back(m_scheduler.now());
+    if (value.empty())
+        topic.newest.erase(key);
+    else
+        topic.newest[key] = record;
+    std::list<WaitingRead> due;
+    for (auto read = m_waitingReads.begin(); read != m_waitingReads.end();) {
+        const auto next = std::next(read);
+        if (read->topic == topicName)
+            due.splice(due.end(), m_waitingReads, read);
+        read = next;
+    }
+    for (const WaitingRead &read : due)
+        answerFrom(topic, read.from, read.answer);
+    dropOldRecords(topic);
+    return record.offset;
+}
+
+void SimulatedStore::read(const std::string &topicName, LogOffset from, Instant waitUntil,
+                          Answer answer)
+{
+    Topic &topic = m_topics[topicName];
+    ++topic.reads;
+    if (!accepts(answer))
+        return;
+    if (from < topic.end() || waitUntil <= m_scheduler.now()) {
+        answerFrom(topic, from, answer);
+        return;
+    }
+    const std::uint64_t number = ++m_lastNumber;
+    m_waitingReads.push_back(
+            {.number = number, .topic = topicName, .from = from, .answer = std::move(answer)});
+    m_scheduler.at(waitUntil, [this, number] { endWait(number); });
+}
+
+void SimulatedStore::readNewest(const std::string &topicName, const Answer &answer)
+{
+    Topic &topic = m_topics[topicName];
+    ++topic.reads;
+    if (!accepts(answer))
+        return;
+    LogRecords records{.end = topic.end(), .first = topic.first};
+    for (const auto &[key, record] : topic.newest)
+        records.records.push_back(record);
+    answer({}, records);
+}
+
+std::uint64_t SimulatedStore::readCount(const std::string &topic) const
+{
+    const auto entry = m_topics.find(topic);
+    return entry == m_topics.end() ? 0 : entry->second.reads;
+}
+
+bool SimulatedStore::accepts(const Answer &answer) const
+{
+    if (m_state == StoreState::Refusing)
+        answer(StoreError::Busy, {});
+    return m_state == StoreState::Running;
+}
+
+void SimulatedStore::answerFrom(const Topic &topic, LogOffset from, const Answer &answer) const
+{
+    LogRecords records{.end = std::max(from, topic.end()), .first = topic.first};
+    if (from < topic.first) {
+        answer(StoreError::Expired, records);
+        return;
+    }
+    for (LogOffset offset = from; offset < topic.end(); ++offset)
+        records.records.push_back(topic.records.at(offset - topic.first));
+    answer({}, records);
+}
+
+void SimulatedStore::endWait(std::uint64_t number)
+{
+    const auto read = std::ranges::find(m_waitingReads, number, &WaitingRead::number);
+    if (read == m_waitingReads.end())
+        return;
+    const WaitingRead ended = std::move(*read);
+    m_waitingReads.erase(read);
+    answerFrom(m_topics[ended.topic], ended.from, ended.answer);
+}
+
+void SimulatedStore::dropOldRecords(Topic &topic)
+{
+    while (!topic.records.empty() && topic.acceptedAt.front() + m_retention < m_scheduler.now()) {
+        topic.records.pop_front();
+        topic.acceptedAt.pop_front();
+        ++topic.first;
+    }
+}
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/servers/simulated_store.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "servers/store/log_record.h"
+#include "tests/servers/store_state.h"
+#include "tests/servers/virtual_scheduler.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <system_error>
+
+namespace monsoonsail {
+
+/// The platform's store in virtual time: topics with keys, and reads that wait for a record.
+class SimulatedStore
+{
+public:
+    using Answer = std::function<void(std::error_code, const LogRecords &)>;
+
+    explicit SimulatedStore(VirtualScheduler &scheduler);
+
+    /// Sets how long records are kept that newer ones of their keys have replaced.
+    void setRetention(Duration retention) { m_retention = retention; }
+    void setState(StoreState state);
+    StoreState state() const { return m_state; }
+
+    /// Stores a record, whatever the state, and answers the reads that wait for it. An empty value
+    /// removes the key. Returns the record's offset.
+    LogOffset append(const std::string &topic, const std::string &key, const std::string &value);
+    /// Answers with the records from `from` on as soon as there is one, or none at `waitUntil`.
+    void read(const std::string &topic, LogOffset from, Instant waitUntil, Answer answer);
+    void readNewest(const std::string &topic, const Answer &answer);
+
+    /// Number of reads of the topic that have reached the store.
+    std::uint64_t readCount(const std::string &topic) const;
+
+private:
+    struct Topic
+    {
+        std::deque<LogRecord> records;
+        std::deque<Instant> acceptedAt; ///< Of each record.
+        LogOffset first = 0;
+        std::map<std::string, LogRecord> newest;
+        std::uint64_t reads = 0;
+
+        LogOffset end() const { return first + records.size(); }
+    };
+    struct WaitingRead
+    {
+        std::uint64_t number = 0;
+        std::string topic;
+        LogOffset from = 0;
+        Answer answer;
+    };
+
+    /// Whether the call can be served; answers it if it is refused.
+    bool accepts(const Answer &answer) const;
+    void answerFrom(const Topic &topic, LogOffset from, const Answer &answer) const;
+    void endWait(std::uint64_t number);
+    void dropOldRecords(Topic &topic);
+
+    VirtualScheduler &m_scheduler;
+    std::map<std::string, Topic> m_topics;
+    std::list<WaitingRead> m_waitingReads;
+    std::uint64_t m_lastNumber = 0;
+    Duration m_retention = std::chrono::seconds(300);
+    StoreState m_state = StoreState::Running;
+};
+
+} // namespace monsoonsail
--- /dev/null
+++ b/tests/servers/simulated_store_client.cpp
@@ -0,0 +1,116 @@
+#include "tests/servers/simulated_store_client.h"
+
+#include "core/store_error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoonsail {
+
+namespace {
+
+/// As in StoreClient.
+constexpr Duration responseTimeout = std::chrono::milliseconds(800);
+constexpr double minLatencyMs = 2;
+constexpr double typicalLatencyMs = 12;
+constexpr double lateShare = 0.02;
+constexpr double lateLatencyMs = 150;
+
+/// Passes on the first result of a call: its answer, or the end of its time limit.
+struct PendingCall
+{
+    RecordLog::ReadDone done;
+    std::shared_ptr<ProcessGate> gate;
+
+    void finish(std::error_code error, const LogRecords &records)
+    {
+        gate->passAnswer([call = std::exchange(done, nullptr), error, records] {
+            if (call)
+                call(error, records);
+        });
+    }
+};
+
+} // namespace
+
+SimulatedStoreClient::SimulatedStoreClient(SimulatedStore &store, VirtualScheduler &scheduler,
+                                           Duration clockOffset, std::uint64_t seed,
+                                           const StoreState &state,
+                                           std::shared_ptr<ProcessGate> gate)
+    : m_store(store)
+    , m_scheduler(scheduler)
+    , m_clockOffset(clockOffset)
+    , m_random(seed)
+    , m_state(state)
+    , m_gate(std::move(gate))
+{ }
+
+void SimulatedStoreClient::read(std::string_view topic, LogOffset from, Instant waitUntil,
+                                ReadDone done)
+{
+    const Instant end = std::max(m_scheduler.now(), waitUntil - m_clockOffset);
+    start(
+            end,
+            [this, topic = std::string(topic), from, end](SimulatedStore::Answer answer) {
+                m_store.read(topic, from, end, std::move(answer));
+            },
+            std::move(done));
+}
+
+void SimulatedStoreClient::readNewest(std::string_view topic, ReadDone done)
+{
+    start(
+            m_scheduler.now(),
+            [this, topic = std::string(topic)](const SimulatedStore::Answer &answer) {
+                m_store.readNewest(topic, answer);
+            },
+            std::move(done));
+}
+
+void SimulatedStoreClient::append(std::string_view topic, std::string_view key,
+                                  std::string_view value, std::optional<LogOffset> /*at*/,
+                                  AppendDone done)
+{
+    start(
+            m_scheduler.now(),
+            [this, topic = std::string(topic), key = std::string(key),
+             value = std::string(value)](const SimulatedStore::Answer &answer) {
+                if (m_store.state() == StoreState::Running)
+                    answer({}, {.end = m_store.append(topic, key, value)});
+                else if (m_store.state() == StoreState::Refusing)
+                    answer(StoreError::Busy, {});
+            },
+            [done = std::move(done)](std::error_code error, const LogRecords &records) {
+                done(error, records.end);
+            });
+}
+
+void SimulatedStoreClient::start(Instant waitUntil, Call call, ReadDone done)
+{
+    const auto pending =
+            std::make_shared<PendingCall>(PendingCall{.done = std::move(done), .gate = m_gate});
+    m_scheduler.at(waitUntil + responseTimeout,
+                   [pending] { pending->finish(StoreError::Unreachable, {}); });
+    const Duration answerLatency = latency();
+    const auto answer = [this, pending, answerLatency](std::error_code error,
+                                                       const LogRecords &records) {
+        m_scheduler.at(m_scheduler.now() + answerLatency, [this, pending, error, records] {
+            if (m_state != StoreState::Silent)
+                pending->finish(error, records);
+        });
+    };
+    m_scheduler.at(m_scheduler.now() + latency(), [this, call = std::move(call), answer] {
+        if (m_state == StoreState::Running)
+            call(answer);
+        else if (m_state == StoreState::Refusing)
+            answer(StoreError::Busy, {});
+    });
+}
+
+Duration SimulatedStoreClient::latency()
+{
+    const bool isLate = m_random.fraction() < lateShare;
+    return fromMs(minLatencyMs + m_random.fraction() * (isLate ? lateLatencyMs : typicalLatencyMs));
+}
+
+} // namespace monsoonsail
