--- a/tests/servers/configuration_age.h
+++ b/tests/servers/configuration_age.h
@@ -3,6 +3,9 @@
 #include "servers/serving/serving_context.h"
 #include "servers/store/topic_follower.h"
 
+#include <string>
+#include <vector>
+
 namespace monsoonsail {
 
 /// Records how recent the knowledge of a configuration is that never changes.
@@ -14,6 +17,7 @@
     { }
 
     void onValueChanged(const LogRecord & /*record*/, Instant /*now*/) override { }
+    std::vector<std::string> knownKeys() const override { return {}; }
     void onKeyRemoved(const std::string & /*key*/, LogOffset /*offset*/, Instant /*now*/) override
     { }
     void onCaughtUp(LogOffset /*end*/, Instant asOf, Instant /*now*/) override
--- a/tests/servers/simulated_instance.cpp
+++ b/tests/servers/simulated_instance.cpp
@@ -128,12 +128,10 @@
     });
 }
 
-// What the exchange concludes from a digest belongs after applyDigest().
 void SimulatedInstance::handleDigest(const Digest &digest)
 {
-    const Peer *peer = m_mesh.applyDigest(digest, now());
-    if (peer == nullptr)
-        return;
+    if (const Peer *peer = m_mesh.applyDigest(digest, now()))
+        m_exchange.handleDigest(*peer, now());
 }
 
 void SimulatedInstance::handleBulletin(std::string_view bytes)
