Read the list when the endpoints differ from those of a reader

Cause: a change travels in three datagrams within 0.7 s and then never again, and nothing told a receiver that it had got none of them; it took the reader's age as its own. It used the endpoint until its own next read, every 10 s at 5 and every 59 s at 118 instances. Three ways to miss a change are shown: the datagrams are lost; both readers end before they have sent them, and their successors publish nothing of their first read; the relays of a zone have just been killed. Class: an event that is told a few times and then taken as known, without a state to compare with.

Change: whoever differs from the newest report of a reader for a tenth of a second longer than that reader's interval reads the list itself, and until then the reader's data doesn't count as its own. Differences that reading does not end (a reader that is wrong) are repeated at intervals that double from 1.2 to 60 s.

Ruled out: more repeats, which a reader that has ended doesn't send, and publishing the first read, which doesn't name endpoints that were removed.

--- a/servers/endpoints/endpoint_exchange.cpp
+++ b/servers/endpoints/endpoint_exchange.cpp
@@ -64,7 +64,8 @@
     if (isReader())
         return;
     for (const auto &[name, peer] : m_mesh.peers()) {
-        if (Mesh::isLive(peer, now) && peer.digest.isReader) {
+        const bool isCurrent = peer.digest.isReader && m_comparison.agreesWith(name);
+        if (Mesh::isLive(peer, now) && isCurrent) {
             m_context.endpointsAsOf =
                     std::max(m_context.endpointsAsOf, peer.receivedAt - peer.digest.endpointsAge);
         }
@@ -115,7 +116,8 @@
     if (!digest.isReader || digest.listEnd == 0 || isReader())
         return;
     m_comparison.recordReport(digest.instance,
-                              {.listEnd = digest.listEnd, .checksum = digest.listChecksum}, now);
+                              {.listEnd = digest.listEnd, .checksum = digest.listChecksum},
+                              peer.receivedAt + digest.interval, now);
 }
 
 void EndpointExchange::checkForMissedChanges(Instant now)
@@ -133,6 +135,7 @@
                          {"for_ms", toMs(now - difference->since)},
                          {"list_end", toLog(difference->report.listEnd)},
                          {"own_list_end", toLog(m_context.endpoints.readEnd())}});
+    m_follower.refresh();
 }
 
 void EndpointExchange::fillDigest(Digest &digest, Instant now) const
--- a/servers/endpoints/list_comparison.cpp
+++ b/servers/endpoints/list_comparison.cpp
@@ -5,14 +5,15 @@
 namespace monsoonsail {
 
 namespace {
-/// Time for a change that is on its way: longer than the interval of a reader's digests, so that a
-/// newer report arrives before a difference counts.
-constexpr Duration patience = std::chrono::milliseconds(600);
+/// A change may be on its way. So a difference counts only this long after the next report was due,
+/// and if it is one from that report too.
+constexpr Duration reportMargin = std::chrono::milliseconds(100);
 /// Reading the list does not end a difference if the reader is wrong, or if an entry is taken
 /// differently by those who read it later. It is then repeated at intervals that double up to this.
+constexpr Duration firstRepeatInterval = std::chrono::milliseconds(1200);
 constexpr Duration maxRepeatInterval = std::chrono::seconds(60);
 constexpr unsigned maxDoublings = 7;
-/// A reader that sends no digests for this long no longer counts.
+/// A reader whose next report is late by more no longer counts.
 constexpr Duration reportRetention = std::chrono::seconds(3);
 } // namespace
 
@@ -23,33 +24,35 @@
             || m_endpoints.listChecksum() == reader.report.checksum;
 }
 
-void ListComparison::compare(Reader &reader, Instant now) const
-{
-    if (agrees(reader)) {
-        reader.differsSince.reset();
-        return;
-    }
-    if (reader.differsSince)
-        return;
-    reader.differsSince = now;
-    reader.lastingFrom = now + patience;
-}
-
-void ListComparison::recordReport(const std::string &reader, const Report &report, Instant now)
+void ListComparison::recordReport(const std::string &reader, const Report &report,
+                                  Instant nextReportAt, Instant now)
 {
     Reader &known = m_readers[reader];
     known.report = report;
-    known.receivedAt = now;
-    compare(known, now);
+    known.nextReportAt = nextReportAt;
+    // A reader that has been frozen or cut off reports what the others no longer know.
+    const bool isBehind = std::ranges::any_of(m_readers, [&report](const auto &entry) {
+        return entry.second.report.listEnd > report.listEnd;
+    });
+    if (agrees(known) || isBehind) {
+        known.differsSince.reset();
+    } else if (!known.differsSince) {
+        known.differsSince = now;
+        known.lastingFrom = nextReportAt + reportMargin;
+    }
 }
 
+// A change that a bulletin brought after the newest report ends a difference, but doesn't begin
+// one.
 void ListComparison::update(Instant now)
 {
     std::erase_if(m_readers, [now](const auto &entry) {
-        return entry.second.receivedAt + reportRetention < now;
+        return entry.second.nextReportAt + reportRetention < now;
     });
-    for (auto &[name, reader] : m_readers)
-        compare(reader, now);
+    for (auto &[name, reader] : m_readers) {
+        if (agrees(reader))
+            reader.differsSince.reset();
+    }
 }
 
 bool ListComparison::agreesWith(std::string_view reader) const
@@ -70,9 +73,10 @@
             continue;
         lasting = {.reader = name, .report = reader.report, .since = *reader.differsSince};
         reader.repeats = isRepeat ? std::min(reader.repeats + 1, maxDoublings) : 0;
-        reader.repeatAt = now + std::min(patience * (2U << reader.repeats), maxRepeatInterval);
+        reader.repeatAt =
+                now + std::min(firstRepeatInterval * (1U << reader.repeats), maxRepeatInterval);
         reader.handledDifference = difference(reader);
-        reader.lastingFrom = now + patience;
+        reader.lastingFrom = reader.nextReportAt + reportMargin;
     }
     return lasting;
 }
--- a/servers/endpoints/list_comparison.h
+++ b/servers/endpoints/list_comparison.h
@@ -35,7 +35,9 @@
         : m_endpoints(endpoints)
     { }
 
-    void recordReport(const std::string &reader, const Report &report, Instant now);
+    /// `nextReportAt` is when the next report of the reader is due.
+    void recordReport(const std::string &reader, const Report &report, Instant nextReportAt,
+                      Instant now);
     /// Compares again. Call it after endpoints have changed.
     void update(Instant now);
     /// Whether the endpoints are the same as those in the newest report of the reader, or it has
@@ -49,7 +51,7 @@
     struct Reader
     {
         Report report;
-        Instant receivedAt;
+        Instant nextReportAt;
         std::optional<Instant> differsSince;
         Instant lastingFrom; ///< When the present difference counts as lasting.
         /// Difference of the checksums for which the list was last to be read, and when it is to be
@@ -64,7 +66,6 @@
     {
         return reader.report.checksum - m_endpoints.listChecksum();
     }
-    void compare(Reader &reader, Instant now) const;
 
     const EndpointRegistry &m_endpoints;
     std::map<std::string, Reader, std::less<>> m_readers;
--- a/tests/servers/list_comparison_test.cpp
+++ b/tests/servers/list_comparison_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(changeOnItsWayIsNoLastingDifference);
     CPPUNIT_TEST(changesWithoutPauseAreNoLastingDifference);
     CPPUNIT_TEST(reportFromBeforeTheOwnReadIsNoDifference);
+    CPPUNIT_TEST(reportOfAReaderThatIsBehindIsNoDifference);
     CPPUNIT_TEST(differenceThatReadingDoesNotEndIsReturnedRarely);
     CPPUNIT_TEST(newDifferenceIsReturnedBesideOneThatStays);
     CPPUNIT_TEST(silentReaderIsForgotten);
@@ -60,7 +61,7 @@
     void report()
     {
         m_comparison.recordReport("r", {.listEnd = ++m_offset, .checksum = m_reader.listChecksum()},
-                                  m_now);
+                                  m_now + milliseconds(500), m_now);
     }
 
 public:
@@ -110,6 +111,19 @@
         CPPUNIT_ASSERT_EQUAL(0, differences(seconds(3)));
     }
 
+    void reportOfAReaderThatIsBehindIsNoDifference()
+    {
+        const ListComparison::Report old{.listEnd = m_offset, .checksum = m_reader.listChecksum()};
+        drop(m_reader, "i-1");
+        drop(m_own, "i-1");
+        for (int count = 0; count < 20; ++count) {
+            report();
+            m_comparison.recordReport("frozen", old, m_now + milliseconds(500), m_now);
+            m_now += milliseconds(400);
+            CPPUNIT_ASSERT(!m_comparison.takeLasting(m_now));
+        }
+    }
+
     // Reading the list for each report would cost every instance two calls a second.
     void differenceThatReadingDoesNotEndIsReturnedRarely()
     {
