Grant no grace to entries that vanish while other instances read the store

Cause: entries that lapse while the store is away may come back, so they stay usable for 1.8 s. Whether it was away was judged by this instance's own calls only, though the platform may refuse some instances and serve the others.

Change: the interruption counts from the newest instant at which a live reader is known to have read the store.

--- a/servers/endpoints/endpoint_exchange.cpp
+++ b/servers/endpoints/endpoint_exchange.cpp
@@ -61,14 +61,13 @@
 
 void EndpointExchange::updateAge(Instant now)
 {
-    if (isReader())
-        return;
     for (const auto &[name, peer] : m_mesh.peers()) {
-        const bool isCurrent = peer.digest.isReader && m_comparison.agreesWith(name);
-        if (Mesh::isLive(peer, now) && isCurrent) {
-            m_context.endpointsAsOf =
-                    std::max(m_context.endpointsAsOf, peer.receivedAt - peer.digest.endpointsAge);
-        }
+        if (!peer.digest.isReader || !Mesh::isLive(peer, now))
+            continue;
+        const Instant asOf = peer.receivedAt - peer.digest.endpointsAge;
+        m_feed.recordStoreReadByPeer(asOf);
+        if (!isReader() && m_comparison.agreesWith(name))
+            m_context.endpointsAsOf = std::max(m_context.endpointsAsOf, asOf);
     }
 }
 
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -100,8 +100,11 @@
 // that has ended, which must not be used.
 bool EndpointFeed::mayHaveLapsed(Instant now) const
 {
-    return m_interruptedSince
-            && *m_interruptedSince + m_context.limits.heartbeatInterval * heartbeatsToLapse <= now;
+    if (!m_interruptedSince)
+        return false;
+    // If only this instance was refused or cut off, entries that are gone have not lapsed.
+    const Instant interruptedSince = std::max(*m_interruptedSince, m_readByPeerAt);
+    return interruptedSince + m_context.limits.heartbeatInterval * heartbeatsToLapse <= now;
 }
 
 void EndpointFeed::handleStateChange(const Endpoint &endpoint)
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -5,6 +5,7 @@
 #include "servers/serving/serving_context.h"
 #include "servers/store/topic_follower.h"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -25,6 +26,9 @@
     /// Sets whether to queue changes for sending to the other entry instances. Changes found by the
     /// first read of the list are never queued, since the other instances already know them.
     void setPublishesUpdates(bool publishes) { m_publishesUpdates = publishes; }
+    /// Records that another entry instance has read the store up to `asOf`, so that entries can't
+    /// have lapsed for its absence.
+    void recordStoreReadByPeer(Instant asOf) { m_readByPeerAt = std::max(m_readByPeerAt, asOf); }
     EndpointUpdateQueue &updateQueue() { return m_updateQueue; }
 
     void onValueChanged(const LogRecord &record, Instant now) override;
@@ -47,6 +51,7 @@
     std::optional<Instant> m_firstReadAt;
     /// Start of the first of the calls that failed in a row.
     std::optional<Instant> m_interruptedSince;
+    Instant m_readByPeerAt = Instant::min();
     /// Entries dropped until this instant may only have lapsed.
     Instant m_lapseGraceUntil = Instant::min();
 };
--- a/tests/servers/endpoint_feed_test.cpp
+++ b/tests/servers/endpoint_feed_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(droppedEntryIsUnusableAtOnce);
     CPPUNIT_TEST(dropAfterALostCallIsUnusableAtOnce);
     CPPUNIT_TEST(dropAfterAnOutageStaysUsableForAWhile);
+    CPPUNIT_TEST(dropIsUnusableAtOnceIfPeersReachedTheStore);
     CPPUNIT_TEST(dropSoonAfterAnOutageStaysUsableForAWhile);
     CPPUNIT_TEST(wholeReadRemovesAnEndpointThatOnlyABulletinNamed);
     CPPUNIT_TEST(firstReadQueuesNoUpdates);
@@ -115,6 +116,16 @@
         CPPUNIT_ASSERT(!isUsable());
     }
 
+    // An instance that the store had refused used endpoints that had ended, as lapsed ones.
+    void dropIsUnusableAtOnceIfPeersReachedTheStore()
+    {
+        addEntry();
+        failReads(seconds(3));
+        m_feed->recordStoreReadByPeer(m_fixture.now - milliseconds(500));
+        dropEntry();
+        CPPUNIT_ASSERT(!isUsable());
+    }
+
     void dropSoonAfterAnOutageStaysUsableForAWhile()
     {
         addEntry();
