--- a/tests/processes/fault_soak_test.cpp
+++ b/tests/processes/fault_soak_test.cpp
@@ -1,12 +1,12 @@
 #include "tests/processes/fault_plan.h"
 #include "tests/processes/soak_load.h"
+#include "tests/support/seeds.h"
 #include "tests/support/test_site.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -34,24 +34,10 @@
 /// Consecutive successful calls after which a daemon counts as recovered.
 constexpr int successesAfterRecovery = 20;
 
-/// Seeds that CI runs. A seed that has found a fault is added here, with the cause.
+/// Seeds that CI runs; `make faults` sets others. A seed that has found a fault is added here, with
+/// the cause.
 const std::vector<std::uint64_t> regularSeeds{1, 2, 3};
 
-std::vector<std::uint64_t> seedsToRun()
-{
-    // "FIRST-LAST"; set by `make faults`.
-    const char *range = std::getenv("MONSOONSAIL_FAULT_SEEDS");
-    if (range == nullptr)
-        return regularSeeds;
-    std::vector<std::uint64_t> seeds;
-    char *rest = nullptr;
-    const std::uint64_t first = std::strtoull(range, &rest, 10);
-    const std::uint64_t last = *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first;
-    for (std::uint64_t seed = first; seed <= last; ++seed)
-        seeds.push_back(seed);
-    return seeds;
-}
-
 std::string expectedStream(const std::string &id)
 {
     std::string text;
@@ -296,7 +282,7 @@
     void guaranteesHoldUnderFaults()
     {
         std::string report;
-        for (const std::uint64_t seed : seedsToRun()) {
+        for (const std::uint64_t seed : seedsToRun("MONSOONSAIL_FAULT_SEEDS", regularSeeds)) {
             for (const std::string &line : SoakRun(seed).run())
                 report += "seed " + std::to_string(seed) + ": " + line + "\n";
         }
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -4,13 +4,13 @@
 #include "tests/support/raw_socket.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
-#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -23,14 +23,30 @@
 constexpr int statusOk = 200;
 constexpr std::chrono::milliseconds pollInterval{10};
 
+/// Below the ports from which the kernel chooses those of outgoing connections: one of those could
+/// be taken while a daemon restarts.
+constexpr unsigned firstPort = 10'000;
+constexpr unsigned portCount = 22'000;
+/// Distance between the first ports of two test processes with consecutive ids.
+constexpr unsigned portsPerProcess = 400;
+
+bool isFree(unsigned port)
+{
+    try {
+        const RawListener listener(port);
+        return true;
+    } catch (const std::runtime_error &) {
+        return false;
+    }
+}
+
 unsigned freePort()
 {
-    // The kernel may name a port again once its listener is closed, and a daemon binds its own only
-    // when it starts.
-    static std::set<unsigned> used;
-    unsigned port = RawListener().port();
-    while (!used.insert(port).second)
-        port = RawListener().port();
+    static unsigned next = static_cast<unsigned>(::getpid()) * portsPerProcess;
+    unsigned port = 0;
+    do {
+        port = firstPort + next++ % portCount;
+    } while (!isFree(port));
     return port;
 }
 
@@ -42,26 +58,30 @@
 } // namespace
 
 DaemonProcess::DaemonProcess(std::string instance, const std::string &platform,
-                             const std::filesystem::path &folder)
+                             const std::filesystem::path &folder, DaemonSettings settings)
     : m_instance(std::move(instance))
-    , m_settings(folder / (m_instance + ".toml"))
+    , m_settings(std::move(settings))
+    , m_settingsFile(folder / (m_instance + ".toml"))
     , m_log(folder / (m_instance + ".log"))
     , m_callerPort(freePort())
     , m_readyPort(freePort())
     , m_metricsPort(freePort())
+    , m_digestPort(freePort())
 {
-    std::ofstream settings(m_settings);
-    settings << "instance = \"" << m_instance << "\"\nzone = \"zvolen\"\n"
-             << "caller_listen = \"" << loopback(m_callerPort) << "\"\n"
-             << "ready_listen = \"" << loopback(m_readyPort) << "\"\n"
-             << "control_listen = \"" << loopback(freePort()) << "\"\n"
-             << "metrics_listen = \"" << loopback(m_metricsPort) << "\"\n"
-             << "digest_listen = \"" << loopback(freePort()) << "\"\n"
-             << "store = \"" << platform << "\"\nduties = \"" << platform << "\"\n"
-             << "heartbeat_ms = 1200\ndrain_ms = 2000\nduty_lease_ms = 3000\nstop_grace_s = 8\n"
-             << "[repeats]\nratio = 0.2\nslack = 50\nwindow_s = 10\n"
-             << "[usage]\nwindow_s = 1\ndue_s = 4\n"
-             << "[allowances]\nwindow_s = 8\nexcess = 0.1\nslack = 100\n";
+    std::ofstream file(m_settingsFile);
+    file << "instance = \"" << m_instance << "\"\nzone = \"" << m_settings.zone << "\"\n"
+         << "caller_listen = \"" << loopback(m_callerPort) << "\"\n"
+         << "ready_listen = \"" << loopback(m_readyPort) << "\"\n"
+         << "control_listen = \"" << loopback(freePort()) << "\"\n"
+         << "metrics_listen = \"" << loopback(m_metricsPort) << "\"\n"
+         << "digest_listen = \"" << loopback(m_digestPort) << "\"\n"
+         << "store = \"" << platform << "\"\nduties = \"" << platform << "\"\n"
+         << "heartbeat_ms = 1200\ndrain_ms = " << m_settings.drainTime.count()
+         << "\nduty_lease_ms = 3000\nstop_grace_s = 8\n"
+         << "[repeats]\nratio = 0.2\nslack = 50\nwindow_s = 10\n"
+         << "[usage]\nwindow_s = " << m_settings.usageWindow.count()
+         << "\ndue_s = " << m_settings.usageDue.count() << "\n"
+         << "[allowances]\nwindow_s = 8\nexcess = 0.1\nslack = 100\n";
 }
 
 DaemonProcess::~DaemonProcess()
@@ -76,12 +96,14 @@
 {
     const char *folder = std::getenv("MONSOONSAIL_BIN");
     const std::string program = std::string(folder == nullptr ? "build" : folder) + "/monsoonsaild";
-    const std::string argument = "--settings=" + m_settings.string();
+    const std::string argument = "--settings=" + m_settingsFile.string();
     const int output = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     m_processId = ::fork();
     if (m_processId < 0)
         throw std::runtime_error("cannot start monsoonsaild");
     if (m_processId == 0) {
+        // Leaves no daemon behind if the test is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::execl(program.c_str(), program.c_str(), argument.c_str(), nullptr);
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -9,13 +9,23 @@
 
 namespace monsoonsail {
 
-/// A monsoonsaild process, its settings file and its log. It can be restarted.
+/// Settings of a daemon that tests vary.
+struct DaemonSettings
+{
+    std::string zone = "zvolen";
+    std::chrono::milliseconds drainTime{2000};
+    std::chrono::seconds usageWindow{1};
+    std::chrono::seconds usageDue{4};
+};
+
+/// A monsoonsaild process, its settings file and its log. It can be restarted. The process ends at
+/// the latest with the thread that has started it.
 class DaemonProcess
 {
 public:
     /// `platform` is the "IP:port" of the store and of the duty API. `folder` must exist.
     DaemonProcess(std::string instance, const std::string &platform,
-                  const std::filesystem::path &folder);
+                  const std::filesystem::path &folder, DaemonSettings settings = {});
     /// Kills the process if it is still running.
     ~DaemonProcess();
     DaemonProcess(const DaemonProcess &) = delete;
@@ -33,18 +43,22 @@
     bool isReady() const;
 
     const std::string &instance() const { return m_instance; }
+    const DaemonSettings &settings() const { return m_settings; }
     unsigned callerPort() const { return m_callerPort; }
     unsigned metricsPort() const { return m_metricsPort; }
+    unsigned digestPort() const { return m_digestPort; }
     /// Returns the log of all runs of the daemon.
     std::string log() const;
 
 private:
     const std::string m_instance;
-    const std::filesystem::path m_settings;
+    const DaemonSettings m_settings;
+    const std::filesystem::path m_settingsFile;
     const std::filesystem::path m_log;
     const unsigned m_callerPort;
     const unsigned m_readyPort;
     const unsigned m_metricsPort;
+    const unsigned m_digestPort;
     pid_t m_processId = 0; ///< 0 if no process is running.
     int m_exitStatus = 0;
 };
--- a/tests/support/fake_platform.cpp
+++ b/tests/support/fake_platform.cpp
@@ -40,6 +40,12 @@
     return text.empty() ? 0 : std::stoull(text);
 }
 
+std::string field(const HttpTestRequest &request, const char *name)
+{
+    const auto entry = request.find(name);
+    return entry == request.end() ? std::string() : std::string(entry->value());
+}
+
 std::string_view targetOf(const HttpTestRequest &request)
 {
     return {request.target().data(), request.target().size()};
@@ -81,6 +87,30 @@
     m_changed.notify_all();
 }
 
+std::vector<std::string> FakePlatform::values(const std::string &topic)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> result;
+    for (const Record &record : m_topics[topic])
+        result.push_back(record.value);
+    return result;
+}
+
+std::vector<FakePlatform::UsageReport> FakePlatform::usageReports()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_usageReports;
+}
+
+std::optional<FakePlatform::UsageReport>
+FakePlatform::waitForUsageReport(std::size_t count, std::chrono::milliseconds timeout)
+{
+    std::unique_lock lock(m_mutex);
+    if (!m_changed.wait_for(lock, timeout, [&] { return m_usageReports.size() > count; }))
+        return std::nullopt;
+    return m_usageReports.back();
+}
+
 void FakePlatform::serve(RawSocket &socket)
 {
     HttpConnection connection(socket);
@@ -92,36 +122,63 @@
         }
         while (m_health == Health::Silent && !isStopping())
             std::this_thread::sleep_for(ThreadedServer::stopPollInterval);
-        handle(*request, connection);
+        const CallFate fate = fateOf(*request);
+        // A lost answer says nothing about whether the call was carried out, so the connection is
+        // closed before a late one is.
+        if (!fate.isAnswered && fate.delay.count() > 0)
+            socket.close();
+        sleep(fate.delay);
+        const auto answer = handle(*request);
+        if (!fate.isAnswered)
+            return;
+        sleep(fate.answerDelay);
+        if (answer)
+            connection.answer(answer->status, answer->body);
+    }
+}
+
+CallFate FakePlatform::fateOf(const HttpTestRequest &request)
+{
+    CallFates *fates = m_fates;
+    return fates == nullptr || request.method() != boost::beast::http::verb::post
+            ? CallFate()
+            : fates->next(targetOf(request));
+}
+
+void FakePlatform::sleep(std::chrono::milliseconds time) const
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    for (auto now = end - time; now < end && !m_server.isStopping();
+         now = std::chrono::steady_clock::now()) {
+        std::this_thread::sleep_for(std::min<std::chrono::steady_clock::duration>(
+                end - now, ThreadedServer::stopPollInterval));
     }
 }
 
-void FakePlatform::handle(const HttpTestRequest &request, const HttpConnection &connection)
+std::optional<FakePlatform::Answer> FakePlatform::handle(const HttpTestRequest &request)
 {
     const std::string_view target = targetOf(request);
     if (target.starts_with("/log-append"))
-        append(request, connection);
-    else if (target.starts_with("/log-read"))
-        read(request, connection);
-    else if (target.starts_with("/log-newest"))
-        readNewest(request, connection);
-    else if (target == "/usage" || target == "/scale")
-        report(request, connection);
-    else
-        connection.answer(statusNotFound, "");
+        return append(request);
+    if (target.starts_with("/log-read"))
+        return read(request);
+    if (target.starts_with("/log-newest"))
+        return readNewest(request);
+    if (target == "/usage" || target == "/scale")
+        return report(request);
+    return Answer{.status = statusNotFound};
 }
 
-void FakePlatform::append(const HttpTestRequest &request, const HttpConnection &connection)
+FakePlatform::Answer FakePlatform::append(const HttpTestRequest &request)
 {
     const std::string topic = parameter(targetOf(request), "Topic");
     std::string body = request.body();
     const std::lock_guard lock(m_mutex);
     std::vector<Record> &records = m_topics[topic];
     if (!parameter(targetOf(request), "At").empty()
-        && numberParameter(targetOf(request), "At") != records.size()) {
-        connection.answer(statusConditionFailed, json{{"EndOffset", records.size()}}.dump());
-        return;
-    }
+        && numberParameter(targetOf(request), "At") != records.size())
+        return {.status = statusConditionFailed,
+                .body = json{{"EndOffset", records.size()}}.dump()};
     const std::size_t first = records.size();
     while (body.size() >= sizeof(std::uint32_t)) {
         const auto size =
@@ -135,10 +192,11 @@
                 {.key = content.substr(begin, keySize), .value = content.substr(begin + keySize)});
     }
     m_changed.notify_all();
-    connection.answer(statusOk, json{{"Offset", first}, {"EndOffset", records.size()}}.dump());
+    return {.status = statusOk,
+            .body = json{{"Offset", first}, {"EndOffset", records.size()}}.dump()};
 }
 
-void FakePlatform::read(const HttpTestRequest &request, const HttpConnection &connection)
+std::optional<FakePlatform::Answer> FakePlatform::read(const HttpTestRequest &request)
 {
     const std::string_view target = targetOf(request);
     const std::string topic = parameter(target, "Topic");
@@ -158,46 +216,52 @@
         body += bigEndian(static_cast<std::uint32_t>(content.size())) + content;
     }
     lock.unlock();
+    if (m_health == Health::Silent)
+        return std::nullopt;
     if (m_health == Health::Refusing)
-        connection.answer(statusUnavailable, "");
-    else if (m_health == Health::Up)
-        connection.answer(statusOk, body);
+        return Answer{.status = statusUnavailable};
+    return Answer{.status = statusOk, .body = body};
 }
 
-void FakePlatform::readNewest(const HttpTestRequest &request, const HttpConnection &connection)
+FakePlatform::Answer FakePlatform::readNewest(const HttpTestRequest &request)
 {
     const std::lock_guard lock(m_mutex);
     const std::vector<Record> &records = m_topics[parameter(targetOf(request), "Topic")];
-    std::map<std::string, json> newest;
-    for (std::size_t offset = 0; offset < records.size(); ++offset) {
-        const Record &record = records[offset];
-        newest[record.key] = {{"Key", record.key},
-                              {"Value", absl::Base64Escape(record.value)},
-                              {"Offset", offset}};
-        if (record.value.empty())
-            newest.erase(record.key);
-    }
+    std::map<std::string, std::size_t> newest;
+    for (std::size_t offset = 0; offset < records.size(); ++offset)
+        newest[records[offset].key] = offset;
     json items = json::array();
-    for (const auto &[key, item] : newest)
-        items.push_back(item);
-    connection.answer(
-            statusOk,
-            json{{"Items", items}, {"HasMore", false}, {"EndOffset", records.size()}}.dump());
+    for (const auto &[key, offset] : newest) {
+        const std::string &value = records[offset].value;
+        if (!value.empty()) {
+            items.push_back(
+                    {{"Key", key}, {"Value", absl::Base64Escape(value)}, {"Offset", offset}});
+        }
+    }
+    return {.status = statusOk,
+            .body = json{{"Items", items}, {"HasMore", false}, {"EndOffset", records.size()}}
+                            .dump()};
 }
 
-void FakePlatform::report(const HttpTestRequest &request, const HttpConnection &connection)
+FakePlatform::Answer FakePlatform::report(const HttpTestRequest &request)
 {
     const std::lock_guard lock(m_mutex);
-    const auto field = request.find("X-Fencing-Token");
-    const std::uint64_t fencingNumber =
-            field == request.end() ? 0 : std::stoull(std::string(field->value()));
-    if (fencingNumber < m_fencingNumber) {
-        connection.answer(statusConflict, json{{"Reason", "fenced"}}.dump());
-        return;
-    }
+    const std::string fence = field(request, "X-Fencing-Token");
+    const std::uint64_t fencingNumber = fence.empty() ? 0 : std::stoull(fence);
+    if (fencingNumber < m_fencingNumber)
+        return {.status = statusConflict, .body = json{{"Reason", "fenced"}}.dump()};
     m_fencingNumber = fencingNumber;
     ++m_acceptedReportCount;
-    connection.answer(statusOk, "{}");
+    if (targetOf(request) == "/usage") {
+        const json body = json::parse(request.body());
+        m_usageReports.push_back({.window = body.at("WindowId").get<std::uint64_t>(),
+                                  .counts = body.at("Counts").dump(),
+                                  .holder = field(request, "X-Duty-Holder"),
+                                  .fencingNumber = fencingNumber,
+                                  .acceptedAt = std::chrono::steady_clock::now()});
+        m_changed.notify_all();
+    }
+    return {.status = statusOk, .body = "{}"};
 }
 
 } // namespace monsoonsail
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -115,15 +115,17 @@
     close();
 }
 
-RawListener::RawListener()
+RawListener::RawListener(unsigned port)
     : m_descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    sockaddr_in address = loopback(0);
+    sockaddr_in address = loopback(port);
     socklen_t size = sizeof address;
     if (::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), size) != 0
         || ::listen(m_descriptor, SOMAXCONN) != 0
-        || ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size) != 0)
+        || ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size) != 0) {
+        ::close(m_descriptor);
         throw std::runtime_error("cannot listen on loopback");
+    }
     m_port = ntohs(address.sin_port);
 }
 
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -39,16 +39,19 @@
     /// Closes the connection with a TCP reset.
     void reset();
     bool isOpen() const { return m_descriptor >= 0; }
+    int descriptor() const { return m_descriptor; }
 
 private:
     int m_descriptor = -1;
 };
 
-/// A listening socket on a free loopback port.
+/// A listening socket on a loopback port.
 class RawListener
 {
 public:
-    RawListener();
+    /// Listens on a free port, or on `port` unless it is 0. Throws std::runtime_error if the port
+    /// is in use.
+    explicit RawListener(unsigned port = 0);
     ~RawListener();
     RawListener(const RawListener &) = delete;
     RawListener &operator=(const RawListener &) = delete;
@@ -56,6 +59,7 @@
     /// Waits for a connection. The returned socket is closed if none arrives in time.
     RawSocket accept(std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
     unsigned port() const { return m_port; }
+    int descriptor() const { return m_descriptor; }
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
 private:
--- a/tests/support/test_site.cpp
+++ b/tests/support/test_site.cpp
@@ -91,8 +91,13 @@
 
 DaemonProcess &TestSite::addDaemon()
 {
-    const std::string instance = "entry-" + std::to_string(m_daemons.size() + 1);
-    m_daemons.push_back(std::make_unique<DaemonProcess>(instance, m_platform.address(), m_folder));
+    return addDaemon("entry-" + std::to_string(m_daemons.size() + 1), {});
+}
+
+DaemonProcess &TestSite::addDaemon(const std::string &instance, const DaemonSettings &settings)
+{
+    m_daemons.push_back(
+            std::make_unique<DaemonProcess>(instance, m_platform.address(), m_folder, settings));
     m_daemons.back()->start();
     return *m_daemons.back();
 }
--- a/tests/support/test_site.h
+++ b/tests/support/test_site.h
@@ -37,6 +37,7 @@
                               std::chrono::milliseconds workTime = std::chrono::milliseconds(5));
     /// Starts a daemon without waiting for it to become ready.
     DaemonProcess &addDaemon();
+    DaemonProcess &addDaemon(const std::string &instance, const DaemonSettings &settings);
     /// Publishes a configuration, adds two endpoints per service and `daemons` daemons, and waits
     /// until the daemons serve requests. Throws std::runtime_error if one doesn't in time.
     void startUp(unsigned daemons);
