Don't send a stopped run back to a source that has drained

Cause: a move that fails after the run has stopped leaves its memory at the source, and the run was continued there whatever the time.

Change: a stream that may be resumed elsewhere goes elsewhere from half a second before the drain time is over. A stream that can't be repeated still returns to its source, since it has nowhere else to go: open.

Evidence: EvacuationTest::stoppedRunDoesNotReturnToASourceThatHasDrained failed before (sent to the source) and passes; EvacuationTest 21 passed.

--- a/servers/serving/serving_core_moves.cpp
+++ b/servers/serving/serving_core_moves.cpp
@@ -23,6 +23,14 @@
 constexpr Duration moveTimeout = std::chrono::milliseconds(700);
 /// Time for the old stream to end after a move. It ends at once unless its connection is stalled.
 constexpr Duration movedStreamTimeout = std::chrono::milliseconds(150);
+/// Time from when the platform has stored that an endpoint leaves until this instance knows it.
+constexpr Duration maxNoticeDelay = std::chrono::milliseconds(500);
+
+/// Whether the endpoint may have announced its end so long ago that nothing may be sent to it.
+bool isDrained(const Endpoint &endpoint, Duration drainTime, Instant now)
+{
+    return !endpoint.isUsable(now) && endpoint.stateSince + drainTime <= now + maxNoticeDelay;
+}
 
 } // namespace
 
@@ -244,16 +252,21 @@
         m_context.traffic.cancelAttempt(record.arrival.number, number);
     }
     record.mayHaveRun = true;
-    if (m_context.endpoints.find(attempt.moveTarget) == nullptr) {
+    const Endpoint *target = m_context.endpoints.find(attempt.moveTarget);
+    if (target == nullptr) {
         giveUp(record, ErrorKind::NoEndpoint, "the target of the move is no longer known", now);
         return;
     }
-    if (!m_context.endpointHealth.admitUnavoidableRun(attempt.moveTarget, now)) {
+    // A run that can't be repeated has nowhere else to go.
+    const bool isTooLate =
+            record.isIdempotent() && isDrained(*target, m_context.limits.drainTime, now);
+    if (isTooLate || !m_context.endpointHealth.admitUnavoidableRun(attempt.moveTarget, now)) {
         handleFailure(record, attempt,
                       {.request = record.arrival.number,
                        .attempt = number,
                        .result = AttemptResult::Interrupted,
-                       .reason = "the target of the move is closed"},
+                       .reason = isTooLate ? "the target of the move has left"
+                                           : "the target of the move is closed"},
                       now);
         return;
     }
--- a/tests/servers/evacuation_test.cpp
+++ b/tests/servers/evacuation_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(movedRunContinuesIfItsStreamEndsFirst);
     CPPUNIT_TEST(movedRunContinuesIfItsOldStreamStaysOpen);
     CPPUNIT_TEST(interruptedStreamResumesAfterAFailedMove);
+    CPPUNIT_TEST(stoppedRunDoesNotReturnToASourceThatHasDrained);
     CPPUNIT_TEST(streamThatEndsInTimeIsNotMoved);
     CPPUNIT_TEST(resumableStreamWithoutEventsRestartsElsewhere);
     CPPUNIT_TEST(otherStreamWithoutEventsIsNotRestarted);
@@ -146,6 +147,18 @@
         CPPUNIT_ASSERT(m_fixture.latestAttempt(request).cache.kind != CacheSource::Kind::Moved);
     }
 
+    void stoppedRunDoesNotReturnToASourceThatHasDrained()
+    {
+        const RequestNumber request = startStreamOnLeavingEngine("/review/1");
+        const EndpointId source = m_fixture.latestAttempt(request).endpoint;
+        streamEvents(request, milliseconds(1300));
+        m_fixture.advance(m_fixture.context.limits.drainTime - milliseconds(1400));
+        answerMove(RunMoveResult::Stopped);
+        m_fixture.endAttempt(request, AttemptResult::Interrupted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.traffic.starts.size());
+        CPPUNIT_ASSERT(m_fixture.latestAttempt(request).endpoint != source);
+    }
+
     void streamThatEndsInTimeIsNotMoved()
     {
         const RequestNumber request = startStreamOnLeavingEngine("/plan/1");
