Count the grace of lapsed entries from the last failed read

Cause: the grace of 1.8 s counted from the read after the outage, which comes up to half a second after its end. It now counts 1.95 s from the last read that failed, which was before the end.

--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-/// Entries that lapsed during an outage of the store are written again within about 2 s of its end.
-/// The grace stays below 2 s, since later than 2 s after the outage no request may reach an
-/// endpoint that has ended.
-constexpr Duration lapseGrace = std::chrono::milliseconds(1800);
+/// Entries that lapsed during an outage of the store are written again within about 2 s of its end,
+/// and later than that no request may reach an endpoint that has ended. The outage was over after
+/// the last failed read, so the grace counts from that one.
+constexpr Duration lapseGrace = std::chrono::milliseconds(1950);
 
 /// The store drops an entry after three missed heartbeats. The first of them may have been due when
 /// the outage began, so entries may lapse after two intervals.
@@ -65,7 +65,8 @@
 
 void EndpointFeed::onKeyRemoved(const std::string &key, LogOffset offset, Instant now)
 {
-    const Instant usableUntil = mayHaveLapsed(now) ? now + lapseGrace : m_lapseGraceUntil;
+    const Instant usableUntil =
+            mayHaveLapsed(now) ? m_readFailedAt + lapseGrace : m_lapseGraceUntil;
     m_context.endpoints.markUnlisted(key, offset, usableUntil, now);
 }
 
@@ -78,7 +79,7 @@
     if (std::exchange(m_hasChanges, false) && m_changeHandler)
         m_changeHandler();
     if (mayHaveLapsed(now))
-        m_lapseGraceUntil = now + lapseGrace;
+        m_lapseGraceUntil = m_readFailedAt + lapseGrace;
     m_interruptedSince.reset();
     for (const EndpointId &endpoint : m_context.endpoints.removeExpired(now)) {
         m_context.enginePlacer->removeEndpoint(endpoint);
@@ -89,8 +90,9 @@
     }
 }
 
-void EndpointFeed::onReadFailed(std::error_code /*error*/, Instant since, Instant /*now*/)
+void EndpointFeed::onReadFailed(std::error_code /*error*/, Instant since, Instant now)
 {
+    m_readFailedAt = now;
     if (!m_interruptedSince)
         m_interruptedSince = since;
 }
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -51,6 +51,7 @@
     std::optional<Instant> m_firstReadAt;
     /// Start of the first of the calls that failed in a row.
     std::optional<Instant> m_interruptedSince;
+    Instant m_readFailedAt; ///< When the last of them failed.
     Instant m_readByPeerAt = Instant::min();
     /// Entries dropped until this instant may only have lapsed.
     Instant m_lapseGraceUntil = Instant::min();
--- a/tests/servers/endpoint_feed_test.cpp
+++ b/tests/servers/endpoint_feed_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(droppedEntryIsUnusableAtOnce);
     CPPUNIT_TEST(dropAfterALostCallIsUnusableAtOnce);
     CPPUNIT_TEST(dropAfterAnOutageStaysUsableForAWhile);
+    CPPUNIT_TEST(graceCountsFromTheLastFailedRead);
     CPPUNIT_TEST(dropIsUnusableAtOnceIfPeersReachedTheStore);
     CPPUNIT_TEST(dropSoonAfterAnOutageStaysUsableForAWhile);
     CPPUNIT_TEST(wholeReadRemovesAnEndpointThatOnlyABulletinNamed);
@@ -116,6 +117,18 @@
         CPPUNIT_ASSERT(!isUsable());
     }
 
+    // The read after an outage may come half a second after its end.
+    void graceCountsFromTheLastFailedRead()
+    {
+        addEntry();
+        failReads(seconds(3));
+        m_fixture.advance(milliseconds(500));
+        dropEntry();
+        CPPUNIT_ASSERT(isUsable());
+        m_fixture.advance(milliseconds(1500));
+        CPPUNIT_ASSERT(!isUsable());
+    }
+
     // An instance that the store had refused used endpoints that had ended, as lapsed ones.
     void dropIsUnusableAtOnceIfPeersReachedTheStore()
     {
