Let the first instance that reads a missed change tell its availability zone

What was seen: when both readers are killed before they tell of a change, all 118 instances read the whole list within about the same 0.1 s, so the calls of such an event grow with the fleet.

Change: instances of a zone that differ from a reader wait 30 ms more for each live peer of the zone that comes before them by name, 0.45 s at most; the one that reads tells the others of the zone what it has found, in a bulletin.

--- a/servers/endpoints/endpoint_exchange.cpp
+++ b/servers/endpoints/endpoint_exchange.cpp
@@ -11,6 +11,10 @@
 namespace {
 /// Minimum time between two bulletins, so that changes in quick succession share one.
 constexpr Duration minBulletinInterval = std::chrono::milliseconds(40);
+/// Delay between the instances of an availability zone that have missed the same change, so that
+/// the first one reads the list and tells the others. At its maximum all have read it in time.
+constexpr Duration rankDelay = std::chrono::milliseconds(30);
+constexpr Duration maxRankDelay = std::chrono::milliseconds(450);
 /// Each endpoint writes about once a second, so without a minimum interval every write would cost a
 /// call. The interval is short because some endpoints end 1.5 s after they announce it, and their
 /// runs have to be moved by then.
@@ -81,13 +85,21 @@
 {
     if (now < m_bulletinSentAt + minBulletinInterval)
         return;
-    const Bulletin bulletin{.sentAt = now,
-                            .needsZoneRelay = m_mesh.usesRelays(),
-                            .updates = m_feed.updateQueue().takeDue(now)};
-    if (bulletin.updates.empty())
+    sendUpdates(m_feed.updateQueue().takeDue(now), false, now);
+    sendUpdates(m_feed.zoneUpdateQueue().takeDue(now), true, now);
+}
+
+void EndpointExchange::sendUpdates(std::vector<EndpointUpdate> updates, bool isForZone, Instant now)
+{
+    if (updates.empty())
         return;
     m_bulletinSentAt = now;
-    m_bulletins.send(bulletin, m_mesh.bulletinTargets(++m_bulletinRound, now));
+    const Bulletin bulletin{.sentAt = now,
+                            .needsZoneRelay = !isForZone && m_mesh.usesRelays(),
+                            .updates = std::move(updates)};
+    m_bulletins.send(bulletin,
+                     isForZone ? m_mesh.livePeersIn(m_context.zone, now)
+                               : m_mesh.bulletinTargets(++m_bulletinRound, now));
 }
 
 void EndpointExchange::handleBulletin(const Bulletin &bulletin, Instant now)
@@ -125,7 +137,9 @@
         m_comparison.clear();
         return;
     }
-    const auto difference = m_comparison.takeLasting(now);
+    const Duration delay =
+            std::min(rankDelay * m_mesh.rankInZone(m_context.zone, now), maxRankDelay);
+    const auto difference = m_comparison.takeLasting(now, delay);
     if (!difference)
         return;
     ++m_missedChanges;
@@ -134,6 +148,7 @@
                          {"for_ms", toMs(now - difference->since)},
                          {"list_end", toLog(difference->report.listEnd)},
                          {"own_list_end", toLog(m_context.endpoints.readEnd())}});
+    m_feed.shareNextRead();
     m_follower.refresh();
 }
 
--- a/servers/endpoints/endpoint_exchange.h
+++ b/servers/endpoints/endpoint_exchange.h
@@ -54,6 +54,8 @@
     void updateAge(Instant now);
     void checkForMissedChanges(Instant now);
     void sendBulletin(Instant now);
+    /// Sends updates to the whole mesh, or only to the own availability zone.
+    void sendUpdates(std::vector<EndpointUpdate> updates, bool isForZone, Instant now);
 
     ServingContext &m_context;
     const Mesh &m_mesh;
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -35,6 +35,7 @@
     : m_context(context)
     , m_codec(codec)
     , m_updateQueue(context.endpoints)
+    , m_zoneUpdateQueue(context.endpoints)
 {
     m_context.endpoints.setObserver(
             [this](const Endpoint &endpoint) { handleStateChange(endpoint); });
@@ -72,6 +73,7 @@
 
 void EndpointFeed::onCaughtUp(LogOffset end, Instant asOf, Instant now)
 {
+    m_sharesNextRead = false;
     m_context.endpoints.advanceReadEnd(end);
     if (!m_firstReadAt)
         m_firstReadAt = now;
@@ -114,6 +116,8 @@
     m_hasChanges = true;
     if (m_firstReadAt && m_publishesUpdates)
         m_updateQueue.add(endpoint.id);
+    if (m_sharesNextRead)
+        m_zoneUpdateQueue.add(endpoint.id);
     m_context.log.write(LogLevel::Info, "endpoint-state", {},
                         {{"endpoint", endpoint.id.view()},
                          {"service", endpoint.listing.service.view()},
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -30,6 +30,9 @@
     /// have lapsed for its absence.
     void recordStoreReadByPeer(Instant asOf) { m_readByPeerAt = std::max(m_readByPeerAt, asOf); }
     EndpointUpdateQueue &updateQueue() { return m_updateQueue; }
+    /// Makes the changes that the next read finds known to the own availability zone as well.
+    void shareNextRead() { m_sharesNextRead = true; }
+    EndpointUpdateQueue &zoneUpdateQueue() { return m_zoneUpdateQueue; }
 
     void onValueChanged(const LogRecord &record, Instant now) override;
     std::vector<std::string> knownKeys() const override;
@@ -47,6 +50,8 @@
     std::function<void()> m_changeHandler;
     bool m_hasChanges = false;
     EndpointUpdateQueue m_updateQueue;
+    EndpointUpdateQueue m_zoneUpdateQueue;
+    bool m_sharesNextRead = false;
     bool m_publishesUpdates = true;
     std::optional<Instant> m_firstReadAt;
     /// Start of the first of the calls that failed in a row.
--- a/servers/endpoints/list_comparison.cpp
+++ b/servers/endpoints/list_comparison.cpp
@@ -61,12 +61,12 @@
     return entry == m_readers.end() || agrees(entry->second);
 }
 
-std::optional<ListComparison::Difference> ListComparison::takeLasting(Instant now)
+std::optional<ListComparison::Difference> ListComparison::takeLasting(Instant now, Duration delay)
 {
     update(now);
     std::optional<Difference> lasting;
     for (auto &[name, reader] : m_readers) {
-        if (!reader.differsSince || reader.lastingFrom > now)
+        if (!reader.differsSince || reader.lastingFrom + delay > now)
             continue;
         const bool isRepeat = difference(reader) == reader.handledDifference;
         if (isRepeat && now < reader.repeatAt)
--- a/servers/endpoints/list_comparison.h
+++ b/servers/endpoints/list_comparison.h
@@ -43,8 +43,9 @@
     /// Whether the endpoints are the same as those in the newest report of the reader, or it has
     /// sent none.
     bool agreesWith(std::string_view reader) const;
-    /// Returns a lasting difference, once for each time that the list should be read for it.
-    std::optional<Difference> takeLasting(Instant now);
+    /// Returns a difference that has lasted for `delay` longer than bulletins take, once for each
+    /// time that the list should be read for it.
+    std::optional<Difference> takeLasting(Instant now, Duration delay = {});
     void clear() { m_readers.clear(); }
 
 private:
--- a/servers/mesh/mesh.cpp
+++ b/servers/mesh/mesh.cpp
@@ -207,6 +207,14 @@
     return addresses;
 }
 
+unsigned Mesh::rankInZone(const ZoneId &zone, Instant now) const
+{
+    return static_cast<unsigned>(std::ranges::count_if(m_peers, [&](const auto &entry) {
+        return entry.second.digest.zone == zone && entry.first < m_instance
+                && isLive(entry.second, now);
+    }));
+}
+
 Duration Mesh::maxPropagationTime(std::size_t instances)
 {
     return nonReaderInterval(instances) * missedDigestsOfDead + transitTime;
--- a/servers/mesh/mesh.h
+++ b/servers/mesh/mesh.h
@@ -65,6 +65,9 @@
     std::vector<std::string> bulletinTargets(std::uint64_t round, Instant now) const;
     /// Returns the addresses of the live peers in an availability zone.
     std::vector<std::string> livePeersIn(const ZoneId &zone, Instant now) const;
+    /// Returns the number of live peers in an availability zone whose names come before that of
+    /// this instance.
+    unsigned rankInZone(const ZoneId &zone, Instant now) const;
     /// Returns the time until each of the given number of instances has received a change made
     /// here, or has detected that it receives no digests.
     static Duration maxPropagationTime(std::size_t instances);
--- a/tests/servers/endpoint_exchange_test.cpp
+++ b/tests/servers/endpoint_exchange_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(randomFaults);
     CPPUNIT_TEST(readsWithoutFaults);
     CPPUNIT_TEST(readsWithChurn);
+    CPPUNIT_TEST(changeThatAllInstancesMissCostsFewReads);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration drainTime = seconds(4);
@@ -275,6 +276,29 @@
             checkReads(instances, false);
     }
 
+    // Every instance of a large fleet read the whole list when both readers had been killed.
+    void changeThatAllInstancesMissCostsFewReads()
+    {
+        SimulatedFleet fleet(sized(118));
+        settle(fleet);
+        const std::set<std::string> names = readers(fleet);
+        const std::uint64_t before = fleet.wholeListReads();
+        fleet.endpoints().leave("e0");
+        fleet.advance(microseconds(100));
+        for (const std::string &name : names) {
+            fleet.kill(name);
+            fleet.after(milliseconds(100), [&fleet, name] { fleet.start(name); });
+        }
+        fleet.advance(drainTime);
+        checkLateUses(fleet);
+        constexpr std::uint64_t maxReadsPerZone = 4;
+        std::set<ZoneId> zones;
+        for (const std::string &name : fleet.names())
+            zones.insert(fleet.zoneOf(name));
+        const std::uint64_t reads = fleet.wholeListReads() - before;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(reads), reads <= zones.size() * maxReadsPerZone);
+    }
+
     void readsWithChurn()
     {
         for (const unsigned instances : {5U, 45U, 118U})
--- a/tests/servers/simulated_fleet.cpp
+++ b/tests/servers/simulated_fleet.cpp
@@ -149,6 +149,11 @@
     m_slots.at(to).lastCutAt = now();
 }
 
+std::uint64_t SimulatedFleet::wholeListReads() const
+{
+    return m_store.newestReadCount(std::string(IncarnationCodec::endpoints));
+}
+
 std::uint64_t SimulatedFleet::listReads() const
 {
     return m_store.readCount(std::string(IncarnationCodec::endpoints));
--- a/tests/servers/simulated_fleet.h
+++ b/tests/servers/simulated_fleet.h
@@ -68,6 +68,8 @@
 
     const std::vector<LateUse> &lateUses() const { return m_lateUses; }
     std::uint64_t listReads() const;
+    /// Number of those of them that asked for the whole list.
+    std::uint64_t wholeListReads() const;
     /// Time after the start of a cut within which an instance must read the store itself.
     Duration cutDetectionTime() const;
 
--- a/tests/servers/simulated_store.cpp
+++ b/tests/servers/simulated_store.cpp
@@ -65,6 +65,7 @@
 {
     Topic &topic = m_topics[topicName];
     ++topic.reads;
+    ++topic.newestReads;
     if (!accepts(answer))
         return;
     LogRecords records{.end = topic.end(), .first = topic.first};
@@ -73,6 +74,12 @@
     answer({}, records);
 }
 
+std::uint64_t SimulatedStore::newestReadCount(const std::string &topic) const
+{
+    const auto entry = m_topics.find(topic);
+    return entry == m_topics.end() ? 0 : entry->second.newestReads;
+}
+
 std::uint64_t SimulatedStore::readCount(const std::string &topic) const
 {
     const auto entry = m_topics.find(topic);
--- a/tests/servers/simulated_store.h
+++ b/tests/servers/simulated_store.h
@@ -36,6 +36,8 @@
 
     /// Number of reads of the topic that have reached the store.
     std::uint64_t readCount(const std::string &topic) const;
+    /// Number of those of them that asked for the newest record of each key.
+    std::uint64_t newestReadCount(const std::string &topic) const;
 
 private:
     struct Topic
@@ -45,6 +47,7 @@
         LogOffset first = 0;
         std::map<std::string, LogRecord> newest;
         std::uint64_t reads = 0;
+        std::uint64_t newestReads = 0;
 
         LogOffset end() const { return first + records.size(); }
     };
