--- a/tests/servers/random_fault_plan.h
+++ b/tests/servers/random_fault_plan.h
@@ -13,6 +13,9 @@
 class RandomFaultPlan
 {
 public:
+    /// Number of endpoints that leave at once.
+    static constexpr unsigned replacedEndpoints = 40;
+
     /// Returns the fleet's size and limits for a seed.
     static SimulatedFleet::Options options(std::uint64_t seed);
 
