--- a/tests/servers/endpoint_exchange_test.cpp
+++ b/tests/servers/endpoint_exchange_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(readersEndBeforeTheirBulletinsAmongFive);
     CPPUNIT_TEST(readersEndBeforeTheirBulletinsAmong118);
     CPPUNIT_TEST(missedDropOfAnEndpointKnownFromABulletin);
+    CPPUNIT_TEST(bulletinReadAfterAFreezeRevivesADroppedEndpoint);
     CPPUNIT_TEST(relayZoneIsKilledBeforeALeave);
     CPPUNIT_TEST(relayZoneOfTheReadersIsKilledBeforeALeave);
     CPPUNIT_TEST(instanceThatNobodyHearsAmongFive);
@@ -283,6 +284,23 @@
         CPPUNIT_ASSERT(!fleet.process(victim)->isUsable(added));
     }
 
+    // The socket's buffer holds the bulletin with the start; when the entry goes, it is full.
+    void bulletinReadAfterAFreezeRevivesADroppedEndpoint()
+    {
+        SimulatedFleet fleet(sized(45));
+        settle(fleet);
+        const std::string victim = fleet.names().back();
+        CPPUNIT_ASSERT(!fleet.process(victim)->isReader());
+        fleet.freeze(victim);
+        fleet.endpoints().start("added");
+        fleet.advance(seconds(3));
+        fleet.endpoints().drop("added");
+        fleet.advance(seconds(1));
+        fleet.resume(victim);
+        fleet.advance(drainTime + margin);
+        checkLateUses(fleet);
+    }
+
     void relayZoneIsKilledBeforeALeave() { killRelayZone(ZoneId("c")); }
     void relayZoneOfTheReadersIsKilledBeforeALeave() { killRelayZone(ZoneId("a")); }
 
