--- a/tests/processes/report_run.cpp
+++ b/tests/processes/report_run.cpp
@@ -20,17 +20,22 @@
 
 /// Time in which holders are killed.
 constexpr milliseconds killTime{14'000};
+/// As above while no window has been reported again.
+constexpr milliseconds maxKillTime{30'000};
 /// From then until the reports are compared, so that calls that are carried out late count.
 constexpr milliseconds settleTime{3500};
 constexpr int maxKillDelayMs = 60;
 constexpr int maxRestartDelayMs = 500;
-/// Windows between two kills, in which the next holder begins to act.
-constexpr int maxWindowsBeforeKill = 2;
+/// Windows between two kills. A holder that has just begun sums up windows long after their end,
+/// when all counts have arrived.
+constexpr int minWindowsBeforeKill = 1;
+constexpr int maxWindowsBeforeKill = 3;
 /// Daemons that are paused over the end of a window, and for how long around it.
-constexpr std::size_t pausedDaemons = 3;
+constexpr std::size_t pausedDaemons = 6;
 constexpr int minPauseLeadMs = 50;
 constexpr int maxPauseLeadMs = 350;
-constexpr int maxResumeDelayMs = 300;
+/// Between the resumptions of two daemons.
+constexpr int maxResumeDelayMs = 80;
 /// From the end of a window until daemons sum up its counts.
 constexpr milliseconds settleDelay{1000};
 
@@ -68,7 +73,11 @@
     m_fleet.site().platform().setCallFates(&calls);
     m_start = std::chrono::steady_clock::now();
     const auto startTime = std::chrono::system_clock::now().time_since_epoch();
-    while (std::chrono::steady_clock::now() < m_start + killTime)
+    const auto isOver = [this](milliseconds time) {
+        return std::chrono::steady_clock::now() >= m_start + time;
+    };
+    // If a holder is late, its successor may find nothing that it can still report again.
+    while (!isOver(killTime) || (repeatCount() == 0 && !isOver(maxKillTime)))
         disturbNextWindow();
     std::this_thread::sleep_for(settleTime);
     load.finish();
@@ -77,11 +86,11 @@
     std::ranges::copy(sharedFencingNumbers(), std::back_inserter(violations));
     for (const std::string &instance : m_fleet.endedDaemons())
         violations.push_back(instance + " has ended by itself");
-    if (m_repeatCount == 0)
+    if (repeatCount() == 0)
         violations.emplace_back("no window was reported again, so nothing was compared");
     std::cout << "report seed " << m_seed << ": " << load.callCount() << " calls, "
               << load.servedCount() << " served, " << m_killCount << " kills, " << m_windowCount
-              << " windows, " << m_repeatCount << " reported again, " << otherThanStored()
+              << " windows, " << repeatCount() << " reported again, " << otherThanStored()
               << " reported otherwise than stored, " << violations.size() << " violations"
               << std::endl;
     if (violations.empty())
@@ -111,8 +120,9 @@
     const std::size_t reports = m_fleet.site().platform().usageReports().size();
     for (const unsigned daemon : daemons)
         m_fleet.pause(daemon);
+    std::this_thread::sleep_until(end + settleDelay);
     for (const unsigned daemon : daemons) {
-        std::this_thread::sleep_until(end + settleDelay + milliseconds(draw(0, maxResumeDelayMs)));
+        std::this_thread::sleep_for(milliseconds(draw(0, maxResumeDelayMs)));
         m_fleet.resume(daemon);
     }
     if (m_windowsBeforeKill > 0) {
@@ -127,7 +137,7 @@
         return;
     std::this_thread::sleep_for(milliseconds(draw(0, maxKillDelayMs)));
     killHolder(report->holder);
-    m_windowsBeforeKill = draw(0, maxWindowsBeforeKill);
+    m_windowsBeforeKill = draw(minWindowsBeforeKill, maxWindowsBeforeKill);
 }
 
 void ReportRun::killHolder(const std::string &holder)
@@ -151,7 +161,6 @@
     std::vector<std::string> violations;
     for (const FakePlatform::UsageReport &report : m_fleet.site().platform().usageReports()) {
         const auto [entry, isNew] = first.try_emplace(report.window, report);
-        m_repeatCount += isNew ? 0 : 1;
         if (report.counts != entry->second.counts) {
             violations.push_back("window " + std::to_string(report.window) + ": "
                                  + describe(entry->second, m_start) + ", then "
@@ -166,6 +175,17 @@
     return violations;
 }
 
+std::size_t ReportRun::repeatCount()
+{
+    std::map<std::uint64_t, std::uint64_t> firstNumbers;
+    std::size_t count = 0;
+    for (const FakePlatform::UsageReport &report : m_fleet.site().platform().usageReports()) {
+        const auto [entry, isNew] = firstNumbers.try_emplace(report.window, report.fencingNumber);
+        count += entry->second == report.fencingNumber ? 0 : 1;
+    }
+    return count;
+}
+
 unsigned ReportRun::otherThanStored()
 {
     FakePlatform &platform = m_fleet.site().platform();
--- a/tests/processes/report_run.h
+++ b/tests/processes/report_run.h
@@ -25,6 +25,8 @@
     void killHolder(const std::string &holder);
     std::vector<std::string> differingReports();
     std::vector<std::string> sharedFencingNumbers();
+    /// Returns the number of reports of windows that another holder had reported before.
+    std::size_t repeatCount();
     /// Returns the number of reports that differ from what was stored for the next holder. They
     /// break no rule as long as no other holder reports the same window.
     unsigned otherThanStored();
@@ -38,7 +40,6 @@
     int m_windowsBeforeKill = 0;
     unsigned m_killCount = 0;
     std::size_t m_windowCount = 0;
-    std::size_t m_repeatCount = 0; ///< Reports of windows that had been reported before.
 };
 
 } // namespace monsoonsail
