--- /dev/null
+++ b/tests/drivers/repeated_refusal_test.cpp
@@ -0,0 +1,298 @@
+#include "tests/drivers/traffic_relay_fixture.h"
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Long enough for the relay to read what was sent before.
+constexpr milliseconds readTime{5};
+constexpr std::string_view ok = "HTTP/1.1 200 OK\r\nId: next\r\nContent-Length: 2\r\n\r\nok";
+const std::vector<std::string> refusalLines{"429 Limited", "503 Full", "421 Other"};
+
+std::string refusal(const std::string &statusLine, const std::string &fields = {})
+{
+    return "HTTP/1.1 " + statusLine + "\r\nId: first\r\nNot-Run: 1\r\n" + fields
+            + "Content-Length: 4\r\n\r\nbusy";
+}
+
+/// Returns places in a refusal between which it may arrive in two parts: in the status line, in a
+/// field's name, after a line, before the last line end, after the head, in the body.
+std::vector<std::size_t> splitPoints(const std::string &text)
+{
+    const std::size_t headEnd = text.find("\r\n\r\n");
+    return {9,           text.find("Not-Run") + 3, text.find("Not-Run"), headEnd + 3,
+            headEnd + 4, text.size() - 2};
+}
+
+} // namespace
+
+/// Checks that a refusal that an endpoint repeats on a kept connection answers no other request.
+class RepeatedRefusalTest : public TrafficRelayFixture
+{
+    CPPUNIT_TEST_SUITE(RepeatedRefusalTest);
+    CPPUNIT_TEST(repeatWithTheRefusalItselfIsNotRead);
+    CPPUNIT_TEST(repeatBeforeTheNextRequestIsNotRead);
+    CPPUNIT_TEST(repeatCrossingTheNextRequestIsNotItsAnswer);
+    CPPUNIT_TEST(repeatAfterTheNextRequestIsNotItsAnswer);
+    CPPUNIT_TEST(repeatInTwoPartsIsNotTheNextAnswer);
+    CPPUNIT_TEST(repeatInPartsAroundTheNextRequestIsNotItsAnswer);
+    CPPUNIT_TEST(repeatsAloneAreNoAnswer);
+    CPPUNIT_TEST(repeatIsNoAnswerToAHeadRequest);
+    CPPUNIT_TEST(repeatIsNotPartOfAStream);
+    CPPUNIT_TEST(repeatDoesNotEndAStatusCheck);
+    CPPUNIT_TEST(repeatedAnswerToAStatusCheckReachesNoRequest);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Lets the endpoint answer the request "first" with `answer`, and returns its connection.
+    RawSocket refuseFirst(const std::string &answer)
+    {
+        const RawSocket client = connectCaller("GET /a HTTP/1.1\r\nId: first\r\n\r\n");
+        RawSocket endpoint;
+        const AttemptEnd end = runAttempt(endpoint, answer);
+        CPPUNIT_ASSERT(end.result == AttemptResult::Declined
+                       || end.result == AttemptResult::Misdirected);
+        refuse(end.request, ErrorKind::Overloaded);
+        client.receiveUntil("}");
+        return endpoint;
+    }
+
+    RawSocket connectNext(const std::string &method = "POST")
+    {
+        return connectCaller(method + " /b HTTP/1.1\r\nId: next\r\n\r\n");
+    }
+    void startNext(bool isStream = false)
+    {
+        startAttempt(m_listener.nextArrival().number, isStream);
+    }
+
+    /// Waits until the next request is on `kept` or on a new connection, which then replaces it.
+    void awaitRequest(RawSocket &kept)
+    {
+        for (int round = 0; round < 100; ++round) {
+            RawSocket connection = m_endpoint.accept(milliseconds(0));
+            if (connection.isOpen())
+                kept = std::move(connection);
+            if (!kept.receiveUntil("\r\n\r\n", readTime).empty())
+                return;
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        CPPUNIT_FAIL("no request arrived");
+    }
+
+    /// Checks that the next caller gets the answer to its own request and nothing else.
+    void expectOwnAnswer(const RawSocket &client, const std::string &what)
+    {
+        const AttemptEnd end = m_listener.nextAttemptEnd();
+        expectResult(AttemptResult::Answered, end, what);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 200, end.status);
+        deliver(end);
+        const std::string answer = client.receiveUntil("ok");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 OK\r\nId: next\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("\r\n\r\nok"));
+    }
+
+    /// Sends `first`, then `second` after a pause, as the answer to the next request.
+    void playAfterRequest(const std::string &statusLine, const std::string &first,
+                          const std::string &second)
+    {
+        RawSocket endpoint = refuseFirst(refusal(statusLine));
+        const RawSocket client = connectNext();
+        startNext();
+        awaitRequest(endpoint);
+        endpoint.send(first);
+        std::this_thread::sleep_for(readTime);
+        endpoint.send(second + std::string(ok));
+        expectOwnAnswer(client, statusLine + " after " + first);
+    }
+
+public:
+    void repeatWithTheRefusalItselfIsNotRead()
+    {
+        for (const std::string &line : refusalLines) {
+            const std::string text = refusal(line);
+            for (const std::size_t length : {std::size_t{1}, text.size() / 2, text.size()}) {
+                RawSocket endpoint = refuseFirst(text + text.substr(0, length));
+                CPPUNIT_ASSERT_MESSAGE(line, endpoint.isClosedWithin(seconds(1)));
+                const RawSocket client = connectNext();
+                startNext();
+                endpoint = m_endpoint.accept();
+                endpoint.receiveUntil("\r\n\r\n");
+                endpoint.send(ok);
+                expectOwnAnswer(client, line);
+            }
+        }
+    }
+
+    void repeatBeforeTheNextRequestIsNotRead()
+    {
+        for (const std::string &line : refusalLines) {
+            RawSocket endpoint = refuseFirst(refusal(line));
+            endpoint.send(refusal(line));
+            CPPUNIT_ASSERT_MESSAGE(line, endpoint.isClosedWithin(seconds(1)));
+            const RawSocket client = connectNext();
+            startNext();
+            endpoint = m_endpoint.accept();
+            endpoint.receiveUntil("\r\n\r\n");
+            endpoint.send(ok);
+            expectOwnAnswer(client, line);
+        }
+    }
+
+    // The relay may or may not have noticed the repeat when it chooses the connection.
+    void repeatCrossingTheNextRequestIsNotItsAnswer()
+    {
+        for (int round = 0; round < 30; ++round) {
+            const std::string &line = refusalLines.at(round % refusalLines.size());
+            RawSocket endpoint = refuseFirst(refusal(line));
+            const RawSocket client = connectNext();
+            const RequestNumber request = m_listener.nextArrival().number;
+            std::jthread sender([&] { endpoint.send(refusal(line)); });
+            startAttempt(request);
+            sender.join();
+            awaitRequest(endpoint);
+            endpoint.send(ok);
+            expectOwnAnswer(client, line);
+        }
+    }
+
+    void repeatAfterTheNextRequestIsNotItsAnswer()
+    {
+        for (const std::string &line : refusalLines) {
+            playAfterRequest(line, refusal(line), {});
+            playAfterRequest(line, {}, refusal(line));
+            playAfterRequest(line, refusal(line), refusal(line));
+        }
+    }
+
+    void repeatInTwoPartsIsNotTheNextAnswer()
+    {
+        for (const std::string &line : refusalLines) {
+            const std::string text = refusal(line);
+            for (const std::size_t split : splitPoints(text))
+                playAfterRequest(line, text.substr(0, split), text.substr(split));
+        }
+    }
+
+    void repeatInPartsAroundTheNextRequestIsNotItsAnswer()
+    {
+        for (const std::string &line : refusalLines) {
+            const std::string text = refusal(line);
+            for (const std::size_t split : splitPoints(text)) {
+                RawSocket endpoint = refuseFirst(text);
+                endpoint.send(text.substr(0, split));
+                const RawSocket client = connectNext();
+                startNext();
+                endpoint.send(text.substr(split));
+                RawSocket fresh = m_endpoint.accept();
+                fresh.receiveUntil("\r\n\r\n");
+                fresh.send(ok);
+                expectOwnAnswer(client, line);
+            }
+        }
+    }
+
+    // The request may have run, so the end must not say otherwise.
+    void repeatsAloneAreNoAnswer()
+    {
+        for (const std::string &line : refusalLines) {
+            for (const bool closes : {false, true}) {
+                RawSocket endpoint = refuseFirst(refusal(line));
+                const RawSocket client = connectNext();
+                startNext();
+                awaitRequest(endpoint);
+                endpoint.send(refusal(line, closes ? "Connection: close\r\n" : ""));
+                endpoint.close();
+                const AttemptEnd end = m_listener.nextAttemptEnd();
+                expectResult(AttemptResult::Interrupted, end, line);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(line, 0, end.status);
+                refuse(end.request, ErrorKind::Overloaded);
+            }
+        }
+    }
+
+    // The body of the repeat is read as the next answer, which then is not valid.
+    void repeatIsNoAnswerToAHeadRequest()
+    {
+        for (const std::string &line : refusalLines) {
+            RawSocket endpoint = refuseFirst(refusal(line));
+            const RawSocket client = connectNext("HEAD");
+            startNext();
+            awaitRequest(endpoint);
+            endpoint.send(refusal(line) + "HTTP/1.1 200 OK\r\nId: next\r\n\r\n");
+            const AttemptEnd end = m_listener.nextAttemptEnd();
+            expectResult(AttemptResult::Interrupted, end, line);
+            refuse(end.request, ErrorKind::Overloaded);
+        }
+    }
+
+    void repeatIsNotPartOfAStream()
+    {
+        for (const std::string &line : refusalLines) {
+            RawSocket endpoint = refuseFirst(refusal(line));
+            const RawSocket client = connectNext();
+            startNext(true);
+            awaitRequest(endpoint);
+            endpoint.send(refusal(line)
+                          + "HTTP/1.1 200 OK\r\nId: next\r\nContent-Type: text/event-stream\r\n"
+                            "Content-Length: 7\r\n\r\nid: 1\n\n");
+            const AttemptEnd end = m_listener.nextAttemptEnd();
+            expectResult(AttemptResult::Streamed, end, line);
+            const std::string answer = client.receiveUntil("0\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 OK\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("busy") == std::string::npos);
+        }
+    }
+
+    void checkEndpoint(milliseconds timeout)
+    {
+        m_thread->runAndWait([&] {
+            m_traffic->checkEndpoint({.endpoint = EndpointId("e"),
+                                      .address = m_endpoint.address(),
+                                      .deadline = m_thread->loop().now() + timeout});
+        });
+    }
+
+    // A silent endpoint must not count as responsive because of what it sent before.
+    void repeatDoesNotEndAStatusCheck()
+    {
+        for (const std::string &line : refusalLines) {
+            const RawSocket endpoint = refuseFirst(refusal(line));
+            checkEndpoint(milliseconds(100));
+            const RawSocket call = m_endpoint.accept();
+            CPPUNIT_ASSERT(call.isOpen());
+            endpoint.send(refusal(line));
+            CPPUNIT_ASSERT_MESSAGE(line, !m_listener.nextCheckEnd().isResponsive);
+        }
+    }
+
+    // These answers have no id by which they could be told from those to requests.
+    void repeatedAnswerToAStatusCheckReachesNoRequest()
+    {
+        for (const std::string &line : refusalLines) {
+            const std::string text =
+                    "HTTP/1.1 " + line + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            checkEndpoint(seconds(2));
+            const RawSocket call = m_endpoint.accept();
+            call.receiveUntil("\r\n\r\n");
+            call.send(text);
+            CPPUNIT_ASSERT(m_listener.nextCheckEnd().isResponsive);
+            call.send(text);
+            const RawSocket client = connectNext();
+            startNext();
+            const RawSocket endpoint = m_endpoint.accept();
+            endpoint.receiveUntil("\r\n\r\n");
+            call.send(text);
+            endpoint.send(ok);
+            expectOwnAnswer(client, line);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedRefusalTest);
--- a/tests/drivers/traffic_relay_fixture.h
+++ b/tests/drivers/traffic_relay_fixture.h
@@ -140,6 +140,19 @@
         return attempt;
     }
 
+    /// Checks how an attempt ended. `what` describes the case.
+    static void expectResult(AttemptResult expected, const AttemptEnd &end, const std::string &what)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what + ": " + end.reason,
+                                     std::string(attemptResultName(expected)),
+                                     std::string(attemptResultName(end.result)));
+    }
+
+    void refuse(RequestNumber request, ErrorKind kind)
+    {
+        m_thread->runAndWait([&] { m_traffic->refuse({.request = request, .kind = kind}); });
+    }
+
     void deliver(const AttemptEnd &end)
     {
         m_thread->runAndWait([&] { m_traffic->deliverAnswer(end.request, end.attempt); });
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,6 +32,13 @@
 
 } // namespace
 
+RawSocket::RawSocket(int descriptor)
+    : m_descriptor(descriptor)
+{
+    const int enabled = 1;
+    ::setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+}
+
 RawSocket::RawSocket(RawSocket &&other) noexcept
     : m_descriptor(std::exchange(other.m_descriptor, -1))
 { }
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -12,9 +12,8 @@
 {
 public:
     RawSocket() = default;
-    explicit RawSocket(int descriptor)
-        : m_descriptor(descriptor)
-    { }
+    /// Sends each piece at once, without waiting for the peer to acknowledge the one before.
+    explicit RawSocket(int descriptor);
     ~RawSocket() { close(); }
     RawSocket(RawSocket &&other) noexcept;
     RawSocket &operator=(RawSocket &&other) noexcept;
--- /dev/null
+++ b/tests/support/scripted_endpoint.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "tests/support/fake_platform.h"
+#include "tests/support/raw_socket.h"
+#include "tests/support/threaded_server.h"
+
+#include <functional>
+#include <string>
+
+namespace monsoonsail {
+
+/// A request that a ScriptedEndpoint received.
+struct ScriptedRequest
+{
+    std::string id; ///< X-Attempt-Id
+    std::string path;
+    std::string resumeAfter; ///< Last-Event-Id; empty without one.
+    std::string previousId;  ///< Id of the previous request on the connection; empty without one.
+};
+
+/// An endpoint that publishes itself on the platform and answers with the bytes that a test sends.
+class ScriptedEndpoint
+{
+public:
+    /// Answers a request. The connection ends if it closes the socket. Called on the thread of the
+    /// connection.
+    using Script = std::function<void(const ScriptedRequest &, RawSocket &)>;
+
+    ScriptedEndpoint(FakePlatform &platform, const std::string &instance,
+                     const std::string &service, Script script);
+
+private:
+    void serve(RawSocket &socket);
+
+    const Script m_script;
+    ThreadedServer m_server;
+};
+
+} // namespace monsoonsail
--- a/tests/support/test_site.cpp
+++ b/tests/support/test_site.cpp
@@ -66,8 +66,8 @@
     const json configuration{
             {"Version", revision},
             {"Routes",
-             {route("/book/", "unsafe", bookService), route("/look/", "safe", "plain"),
-              route("/review/", "streaming", "model")}},
+             {route("/book/", "unsafe", bookService), route("/order/", "keyed", "plain"),
+              route("/look/", "safe", "plain"), route("/review/", "streaming", "model")}},
             {"Services",
              {{{"Name", "plain"}, {"HealthPath", "/up"}, {"MaxConns", 100}},
               {{"Name", "model"}, {"HealthPath", "/up"}, {"MaxConns", 100}},
@@ -109,22 +109,30 @@
         addEndpoint(service);
     for (unsigned number = 0; number < daemons; ++number)
         addDaemon();
-    for (const auto &daemon : m_daemons) {
-        // A ready daemon has a configuration. A successful request shows that it also knows
-        // endpoints.
-        const bool serves = waitUntil(startTimeout, [&daemon] {
-            return daemon->isReady()
-                    && Caller().call(daemon->callerPort(), "/look/start", "start",
-                                     std::chrono::seconds(1))
-                               .status
-                    == 200;
-        });
-        if (!serves) {
-            keepLogs();
-            throw std::runtime_error(daemon->instance() + " does not serve requests; logs in "
-                                     + m_folder.string());
-        }
-    }
+    for (const auto &daemon : m_daemons)
+        waitUntilServing(*daemon, "/look/start");
+}
+
+DaemonProcess &TestSite::startDaemon(const std::string &path)
+{
+    DaemonProcess &daemon = addDaemon();
+    waitUntilServing(daemon, path);
+    return daemon;
+}
+
+void TestSite::waitUntilServing(const DaemonProcess &daemon, const std::string &path)
+{
+    // A ready daemon has a configuration. A successful request shows that it also knows endpoints.
+    const bool serves = waitUntil(startTimeout, [&] {
+        return daemon.isReady()
+                && Caller().call(daemon.callerPort(), path, "start", std::chrono::seconds(1)).status
+                == 200;
+    });
+    if (serves)
+        return;
+    keepLogs();
+    throw std::runtime_error(daemon.instance() + " does not serve requests; logs in "
+                             + m_folder.string());
 }
 
 } // namespace monsoonsail
--- a/tests/support/test_site.h
+++ b/tests/support/test_site.h
@@ -18,8 +18,8 @@
 bool waitUntil(std::chrono::milliseconds timeout, const std::function<bool()> &condition);
 
 /// A complete small site: a fake platform, fake endpoints of the services "plain" and "model", and
-/// entry daemons. Routes of host club.example: /book/ (unsafe) and /look/ (safe) lead to "plain",
-/// /review/ (streaming) to "model".
+/// entry daemons. Routes of host club.example: /book/ (unsafe), /order/ (of a kind that the daemons
+/// don't know) and /look/ (safe) lead to "plain", /review/ (streaming) to "model".
 class TestSite
 {
 public:
@@ -38,6 +38,9 @@
     /// Starts a daemon without waiting for it to become ready.
     DaemonProcess &addDaemon();
     DaemonProcess &addDaemon(const std::string &instance, const DaemonSettings &settings);
+    /// Starts a daemon and waits until it serves `path`. Throws std::runtime_error if it doesn't in
+    /// time.
+    DaemonProcess &startDaemon(const std::string &path);
     /// Publishes a configuration, adds two endpoints per service and `daemons` daemons, and waits
     /// until the daemons serve requests. Throws std::runtime_error if one doesn't in time.
     void startUp(unsigned daemons);
@@ -50,6 +53,8 @@
     std::vector<std::unique_ptr<DaemonProcess>> &daemons() { return m_daemons; }
 
 private:
+    void waitUntilServing(const DaemonProcess &daemon, const std::string &path);
+
     std::filesystem::path m_folder;
     bool m_keepsLogs = false;
     FakePlatform m_platform;
