Show that a request's own repeated refusal makes it run twice (red)

What is played: a single endpoint refuses a request (429, 503 with X-Not-Executed), gets it again on the same kept connection, repeats the refusal (in one piece with the answer, before it, in two parts, twice), and runs the request. It then runs or refuses what comes later.

Attempt::processHead compares ids only, and the repeat has the id of the request, so the second attempt ends as Declined while the endpoint runs it. - requestThatRanIsNotCalledNotRunByItsOwnRepeatedRefusal: 503 "not-run" after a run in 6 of 12 cases, for unsafe, unknown and safe kinds: where the repeat arrives with the answer or twice. The answer behind it counts as surplus and closes the connection. - repeatDoesNotCloseTheEndpointToOtherRequests: another request's refusal with Retry-After is repeated to "next", and the connection ends. "third" is refused as not run, since the repeat closed the endpoint once more.

--- a/tests/processes/repeated_refusal_test.cpp
+++ b/tests/processes/repeated_refusal_test.cpp
@@ -20,10 +20,17 @@
 /// Long enough for a daemon to read what was sent before.
 constexpr milliseconds readTime{10};
 
-std::string refusal(const std::string &statusLine, const std::string &id)
+std::string refusal(const std::string &statusLine, const std::string &id,
+                    const std::string &fields = {})
 {
-    return "HTTP/1.1 " + statusLine + "\r\nX-Attempt-Id: " + id
-            + "\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy";
+    return "HTTP/1.1 " + statusLine + "\r\nX-Attempt-Id: " + id + "\r\nX-Not-Executed: 1\r\n"
+            + fields + "Content-Length: 4\r\n\r\nbusy";
+}
+
+std::string answer(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
+            + "\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
 }
 
 /// Returns the refusal of a request whose id contains its status.
@@ -48,6 +55,9 @@
     CPPUNIT_TEST_SUITE(RepeatedRefusalDaemonTest);
     CPPUNIT_TEST(nextRequestGetsItsOwnAnswer);
     CPPUNIT_TEST(misdirectedUnsafeRequestRunsOnceElsewhere);
+    CPPUNIT_TEST(unsafeRequestRunsOnceThoughItsOwnRefusalIsRepeated);
+    CPPUNIT_TEST(requestThatRanIsNotCalledNotRunByItsOwnRepeatedRefusal);
+    CPPUNIT_TEST(repeatDoesNotCloseTheEndpointToOtherRequests);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<TestSite> m_site;
@@ -59,8 +69,7 @@
     void run(const ScriptedRequest &request, const RawSocket &socket)
     {
         m_site->runCounter().countRun(request.id);
-        socket.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.id + "\r\nContent-Length: "
-                    + std::to_string(request.id.size()) + "\r\n\r\n" + request.id);
+        socket.send(answer(request.id));
     }
 
     /// Refuses "first-..." once and repeats that refusal to "next-..." on the same connection. The
@@ -89,6 +98,71 @@
         socket.send(text);
     }
 
+    /// Repeats a refusal as the id says: at once with the answer that follows, before it, in two
+    /// parts, or twice.
+    static void repeatOwnRefusal(const std::string &id, const RawSocket &socket)
+    {
+        const std::string text = refusalOf(id);
+        if (id.find("with") != std::string::npos) {
+            socket.send(text + answer(id));
+            return;
+        }
+        if (id.find("parts") != std::string::npos)
+            sendInTwoParts(socket, text);
+        else
+            socket.send(text + (id.find("twice") == std::string::npos ? "" : text));
+        std::this_thread::sleep_for(readTime);
+    }
+
+    /// Refuses each request once, and runs it when it is sent again. On the connection of the
+    /// refusal, that is repeated first. A request whose id ends with "full" is refused after its
+    /// run.
+    void serveOwnRepeats(const ScriptedRequest &request, const RawSocket &socket)
+    {
+        m_arrivals.countRun(request.id);
+        const unsigned arrival = m_arrivals.runCount(request.id);
+        const std::string text = refusalOf(request.id);
+        if (request.id == "start" || (arrival > 2 && !request.id.ends_with("full"))) {
+            run(request, socket);
+            return;
+        }
+        if (arrival != 2) {
+            socket.send(text);
+            return;
+        }
+        m_site->runCounter().countRun(request.id);
+        if (request.previousId == request.id)
+            repeatOwnRefusal(request.id, socket);
+        socket.send(answer(request.id));
+    }
+
+    /// Returns what went wrong with requests of `path` that are refused once, and whose refusal is
+    /// repeated when they are sent again.
+    std::string playOwnRepeats(const std::string &path, const std::string &status,
+                               const std::string &end)
+    {
+        std::string faults;
+        for (const std::string when : {"with", "after", "parts", "twice"}) {
+            const std::string id = path + status + when + end;
+            const CallResult result = call(path, id);
+            const unsigned runs = m_site->runCounter().runCount(id);
+            const bool isRefused = result.saysNotRun || result.status == 429 || result.status == 503
+                    || result.status == 421;
+            if ((isRefused && runs > 0) || (runs > 1 && path != "/look/"))
+                faults += "\n" + id + ": " + std::to_string(runs) + " runs, answer "
+                        + std::to_string(result.status) + " " + result.body;
+        }
+        return faults;
+    }
+
+    void startWithOwnRepeats()
+    {
+        addEndpoint("plain-1", [this](const ScriptedRequest &request, RawSocket &socket) {
+            serveOwnRepeats(request, socket);
+        });
+        m_site->startDaemon("/look/1");
+    }
+
     void addEndpoint(const std::string &instance, ScriptedEndpoint::Script script)
     {
         m_endpoints.push_back(std::make_unique<ScriptedEndpoint>(m_site->platform(), instance,
@@ -161,6 +235,50 @@
             std::this_thread::sleep_for(2 * readTime);
         }
     }
+
+    // The repeat has the id of the request, which is sent to the same endpoint again.
+    void unsafeRequestRunsOnceThoughItsOwnRefusalIsRepeated()
+    {
+        startWithOwnRepeats();
+        std::string faults;
+        for (const char *path : {"/book/", "/order/"})
+            faults += playOwnRepeats(path, "429", "") + playOwnRepeats(path, "503", "");
+        CPPUNIT_ASSERT_EQUAL(std::string(), faults);
+    }
+
+    void requestThatRanIsNotCalledNotRunByItsOwnRepeatedRefusal()
+    {
+        startWithOwnRepeats();
+        std::string faults;
+        for (const char *path : {"/book/", "/order/", "/look/"})
+            faults += playOwnRepeats(path, "503", "full");
+        CPPUNIT_ASSERT_EQUAL(std::string(), faults);
+    }
+
+    // The time that the refusal names was over when "next" was sent, and "next" was not refused.
+    void repeatDoesNotCloseTheEndpointToOtherRequests()
+    {
+        constexpr milliseconds closedTime{200};
+        const std::string text = refusal("503 Full", "first", "Retry-After: 0.2\r\n");
+        addEndpoint("plain-1", [this, text](const ScriptedRequest &request, RawSocket &socket) {
+            if (request.id == "first") {
+                socket.send(text);
+            } else if (request.previousId == "first") {
+                ++m_repeats;
+                socket.send(text);
+                socket.close();
+            } else {
+                run(request, socket);
+            }
+        });
+        m_site->startDaemon("/look/1");
+        CPPUNIT_ASSERT(call("/book/1", "first").saysNotRun);
+        std::this_thread::sleep_for(closedTime + readTime);
+        CPPUNIT_ASSERT_EQUAL(502, call("/book/1", "next").status);
+        CPPUNIT_ASSERT_EQUAL(1U, m_repeats.load());
+        const CallResult third = call("/book/1", "third");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(third.body, 200, third.status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedRefusalDaemonTest);
