Show repeated refusals that end moves, close endpoints or have no id (red)

AttemptEnd::closedUntil is set for the interrupted attempt, since the traits of the skipped response are kept. - repeatIsNotTheAnswerToAMove: a move call on a kept connection takes the repeated refusal of a request for its answer ("busy" for "h1"). Its answers have no id, and moveRun() uses EndpointPool::takeIdle(). - repeatWithoutAnIdIsNotTheNextAnswer: the refusal of a request without an id has none; repeated, it ends the next request on the connection as Declined.

--- a/tests/drivers/repeated_refusal_test.cpp
+++ b/tests/drivers/repeated_refusal_test.cpp
@@ -48,6 +48,9 @@
     CPPUNIT_TEST(repeatIsNotPartOfAStream);
     CPPUNIT_TEST(repeatDoesNotEndAStatusCheck);
     CPPUNIT_TEST(repeatedAnswerToAStatusCheckReachesNoRequest);
+    CPPUNIT_TEST(repeatDoesNotCloseTheEndpointAgain);
+    CPPUNIT_TEST(repeatIsNotTheAnswerToAMove);
+    CPPUNIT_TEST(repeatWithoutAnIdIsNotTheNextAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     /// Lets the endpoint answer the request "first" with `answer`, and returns its connection.
@@ -293,6 +296,76 @@
             expectOwnAnswer(client, line);
         }
     }
+
+    // The time that the refusal names began when it was sent first, and this request was not
+    // declined.
+    void repeatDoesNotCloseTheEndpointAgain()
+    {
+        RawSocket endpoint = refuseFirst(refusal("503 Full", "Closed-For-2s: 1\r\n"));
+        const RawSocket client = connectNext();
+        startNext();
+        awaitRequest(endpoint);
+        endpoint.send(refusal("503 Full", "Closed-For-2s: 1\r\n"));
+        endpoint.close();
+        const AttemptEnd end = m_listener.nextAttemptEnd();
+        expectResult(AttemptResult::Interrupted, end, "next");
+        CPPUNIT_ASSERT(!end.closedUntil);
+    }
+
+    // The call may use the kept connection, and its answer has no id.
+    void repeatIsNotTheAnswerToAMove()
+    {
+        for (const std::string &line : refusalLines) {
+            const RawSocket client = connectNext();
+            const RequestNumber request = m_listener.nextArrival().number;
+            const AttemptNumber attempt = startAttempt(request, true);
+            const RawSocket run = m_endpoint.accept();
+            run.receiveUntil("\r\n\r\n");
+            RawSocket endpoint = refuseFirst(refusal(line));
+            m_thread->runAndWait([&] {
+                m_traffic->moveRun({.request = request,
+                                    .attempt = attempt,
+                                    .source = EndpointId("e"),
+                                    .sourceAddress = m_endpoint.address(),
+                                    .targetAddress = "127.0.0.1:1",
+                                    .deadline = m_thread->loop().now() + seconds(2)});
+            });
+            const RawSocket call = m_endpoint.accept(milliseconds(100));
+            if (!call.isOpen())
+                endpoint.receiveUntil("\r\n\r\n");
+            endpoint.send(refusal(line));
+            std::this_thread::sleep_for(readTime);
+            (call.isOpen() ? call : endpoint)
+                    .send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+            const RunMoveEnd end = m_listener.nextMoveEnd();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line + ": " + end.handle, std::string("h1"), end.handle);
+            CPPUNIT_ASSERT_MESSAGE(line, end.result == RunMoveResult::Moved);
+            refuse(request, ErrorKind::Internal);
+        }
+    }
+
+    // Endpoints refuse requests without an id, and their refusals have none either.
+    void repeatWithoutAnIdIsNotTheNextAnswer()
+    {
+        for (const std::string line : {"400 No id", "429 Limited", "503 Full"}) {
+            const std::string text =
+                    "HTTP/1.1 " + line + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            const RawSocket first = connectCaller("GET /a HTTP/1.1\r\n\r\n");
+            RawSocket endpoint;
+            const AttemptEnd end = runAttempt(endpoint, text);
+            expectResult(AttemptResult::Declined, end, line);
+            refuse(end.request, ErrorKind::Overloaded);
+            const RawSocket client = connectNext();
+            startNext();
+            const RawSocket fresh = m_endpoint.accept(milliseconds(100));
+            if (!fresh.isOpen())
+                endpoint.receiveUntil("\r\n\r\n");
+            endpoint.send(text);
+            std::this_thread::sleep_for(readTime);
+            (fresh.isOpen() ? fresh : endpoint).send(ok);
+            expectOwnAnswer(client, line);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedRefusalTest);
