Show that a stream resumed without length or events looks complete (red)

What is played: a stream breaks off after its second event; the next endpoint sends the head of a stream without length and closes the connection.

Attempt::reportResponse judges a stream without events only if it was not resumed.

TrafficRelayStreamTest::streamWithoutLengthOrEventsIsInterrupted expects Streamed where the caller itself resumes and nothing was relayed before; the two do not contradict each other.

--- a/tests/drivers/resumed_stream_test.cpp
+++ b/tests/drivers/resumed_stream_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(breakWithinLaterEventsIsNoEnd);
     CPPUNIT_TEST(resumedStreamWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(headOfTheNextEndpointIsNotSeen);
+    CPPUNIT_TEST(resumedStreamWithoutLengthOrEventsIsNoEnd);
     CPPUNIT_TEST_SUITE_END();
 
     static void sendAll(RawSocket &endpoint, const NextAnswer &answer)
@@ -201,6 +202,17 @@
                 Ending::Open, AttemptResult::Streamed});
         CPPUNIT_ASSERT_EQUAL("f\r\n" + third + "\r\n0\r\n\r\n", client.receiveUntil("0\r\n\r\n"));
     }
+
+    // The endpoint ended before it sent anything, as a new stream of that kind is judged as well.
+    void resumedStreamWithoutLengthOrEventsIsNoEnd()
+    {
+        const RawSocket client = connectCaller();
+        const AttemptEnd end = resume(beginStream(client, true),
+                                      {"close after the head", streamHead + "\r\n", Ending::Close,
+                                       AttemptResult::Interrupted});
+        refuse(end.request, ErrorKind::AnswerInterrupted);
+        CPPUNIT_ASSERT_EQUAL(std::string(), client.receiveUntil("never"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResumedStreamTest);
--- a/tests/processes/resumed_stream_test.cpp
+++ b/tests/processes/resumed_stream_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST_SUITE(ResumedAnswerTest);
     CPPUNIT_TEST(streamGoesOnAfterAnotherAnswer);
     CPPUNIT_TEST(streamThatIsNotContinuedStaysIncomplete);
+    CPPUNIT_TEST(streamWithoutEventsOrLengthIsNoEnd);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<TestSite> m_site;
@@ -102,6 +103,9 @@
             socket.reset();
         } else if (run > 2 && request.id.ends_with("continued")) {
             socket.send(head + chunk(event(3)) + "0\r\n\r\n");
+        } else if (request.id == "empty") {
+            socket.send("HTTP/1.1 200 OK" + idField + std::string(streamFields) + "\r\n");
+            socket.close();
         } else {
             const NextAnswer &next = nextAnswers.at(std::stoul(request.id));
             socket.send("HTTP/1.1 " + next.statusLine + idField + next.rest);
@@ -172,6 +176,14 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.name, chunk(event(1)) + chunk(event(2)), body);
         }
     }
+
+    // The endpoint ended before it sent anything; the caller must not take that for the end.
+    void streamWithoutEventsOrLengthIsNoEnd()
+    {
+        const std::string bytes = call("empty");
+        const std::string body = bytes.substr(bytes.find("\r\n\r\n") + 4);
+        CPPUNIT_ASSERT_EQUAL(chunk(event(1)) + chunk(event(2)), body);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResumedAnswerTest);
