Show a second head inside a resumed stream without length (red)

What is played: a stream breaks off after its second event; the next endpoint goes on with a body without length, in which the whole head of a 500 follows the third event, and closes the connection.

The relay reports Streamed, and the head is written to the caller as an event, followed by the last chunk. HTTP alone can't tell it from the body; EventSplitter takes any bytes up to an empty line for an event.

--- a/tests/drivers/resumed_stream_test.cpp
+++ b/tests/drivers/resumed_stream_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(resumedStreamWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(headOfTheNextEndpointIsNotSeen);
     CPPUNIT_TEST(resumedStreamWithoutLengthOrEventsIsNoEnd);
+    CPPUNIT_TEST(headInABodyWithoutLengthIsNotSeen);
     CPPUNIT_TEST_SUITE_END();
 
     static void sendAll(RawSocket &endpoint, const NextAnswer &answer)
@@ -213,6 +214,20 @@
         refuse(end.request, ErrorKind::AnswerInterrupted);
         CPPUNIT_ASSERT_EQUAL(std::string(), client.receiveUntil("never"));
     }
+
+    // Servers whose handler fails may write a second response after the begun one.
+    void headInABodyWithoutLengthIsNotSeen()
+    {
+        const RawSocket client = connectCaller();
+        const AttemptEnd end =
+                resume(beginStream(client, true),
+                       {"head after an event",
+                        streamHead + "\r\n" + third
+                                + "HTTP/1.1 500 Bad\r\nId: r\r\nContent-Length: 0\r\n\r\n",
+                        Ending::Close, AttemptResult::Interrupted});
+        refuse(end.request, ErrorKind::AnswerInterrupted);
+        CPPUNIT_ASSERT_EQUAL("f\r\n" + third + "\r\n", client.receiveUntil("never"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResumedStreamTest);
