Show that calls to the platform take a broken head for an answer (red)

What is played: the store or the duty API ends a connection within the head of its answer, by a close or a reset, at seven places.

--- /dev/null
+++ b/tests/drivers/curl_client_test.cpp
@@ -0,0 +1,94 @@
+#include "drivers/http/curl_client.h"
+#include "tests/support/loop_thread.h"
+#include "tests/support/raw_socket.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace monsoonsail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::vector<std::string> brokenHeads{"HTTP/1.1 200",
+                                           "HTTP/1.1 200 O",
+                                           "HTTP/1.1 200 OK\r\n",
+                                           "HTTP/1.1 200 OK\r\nContent-Le",
+                                           "HTTP/1.1 200 OK\r\nServer: x\r\n",
+                                           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                                           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r"};
+
+} // namespace
+
+/// Checks which responses complete the calls to the platform.
+class CurlClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CurlClientTest);
+    CPPUNIT_TEST(closeInAHeadIsNoAnswer);
+    CPPUNIT_TEST(resetInAHeadIsNoAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+    RawListener m_server;
+    std::unique_ptr<LoopThread> m_thread;
+    std::unique_ptr<CurlClient> m_client;
+
+    std::future<HttpResult> startCall()
+    {
+        auto promise = std::make_shared<std::promise<HttpResult>>();
+        m_thread->runAndWait([&] {
+            const Instant now = m_thread->loop().now();
+            m_client->start({.method = "POST",
+                             .url = "http://" + m_server.address() + "/a",
+                             .body = "{}",
+                             .freshConnection = true,
+                             .sendDeadline = now + seconds(2),
+                             .deadline = now + seconds(2),
+                             .onDone = [promise](HttpResult result) {
+                                 promise->set_value(std::move(result));
+                             }});
+        });
+        return promise->get_future();
+    }
+
+    void expectNoAnswer(bool isReset)
+    {
+        std::string faults;
+        for (const std::string &head : brokenHeads) {
+            auto call = startCall();
+            RawSocket connection = m_server.accept();
+            connection.receiveUntil("{}");
+            connection.send(head);
+            std::this_thread::sleep_for(milliseconds(5));
+            isReset ? connection.reset() : connection.close();
+            const HttpResult result = call.get();
+            if (result.kind != HttpResult::Kind::Interrupted)
+                faults += "\n" + std::to_string(result.status) + " after \"" + head + "\"";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), faults);
+    }
+
+public:
+    void setUp() override
+    {
+        m_thread = std::make_unique<LoopThread>();
+        m_thread->runAndWait([this] { m_client = std::make_unique<CurlClient>(m_thread->loop()); });
+    }
+    void tearDown() override
+    {
+        m_thread->runAndWait([this] { m_client.reset(); });
+        m_thread.reset();
+    }
+
+    void closeInAHeadIsNoAnswer() { expectNoAnswer(false); }
+    void resetInAHeadIsNoAnswer() { expectNoAnswer(true); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CurlClientTest);
