Never send a request again on a connection that has already carried it

What callers saw: where an endpoint repeated its refusal of a request on the kept connection on which it got the request again, an unsafe request ran twice, and a request that had run was answered with 503 "not-run".

Cause: the repeated refusal carries the id of the request, so it was taken for the answer to the second attempt, while the endpoint ran the request.

An exchange now remembers the kept connections that have carried its request, and EndpointPool::takeIdle leaves them out: what arrives late on one of them belongs to an earlier attempt. Hedges, repeats and resumed streams all take their connections there. A new connection is opened only if no other one is idle. AttemptStart::requiresNewConnection, which nothing set, is removed: the traffic thread knows the connections, the control thread doesn't.

New: refusedRequestIsSentAgainOnAnotherKeptConnection checks that a kept connection is still used where there is another one; it fails without the fix.

declinedAndMisdirectedResponsesAreDistinguished sent the second attempt of a declined request on the connection of the first one, as the relay did. It now accepts the new connection; what it checks about the results is unchanged.

--- a/drivers/traffic/endpoint_pool.cpp
+++ b/drivers/traffic/endpoint_pool.cpp
@@ -5,16 +5,24 @@
 
 namespace monsoonsail {
 
-std::shared_ptr<EndpointConnection> EndpointPool::takeIdle(const EndpointId &endpoint,
-                                                           Instant usedSince)
+std::shared_ptr<EndpointConnection>
+EndpointPool::takeIdle(const EndpointId &endpoint, Instant usedSince,
+                       std::span<const std::weak_ptr<const EndpointConnection>> excluded)
 {
     const auto entry = m_idle.find(endpoint);
     if (entry == m_idle.end())
         return nullptr;
     auto &connections = entry->second;
-    while (!connections.empty() && connections.back()->lastUsedAt >= usedSince) {
-        std::shared_ptr<EndpointConnection> connection = std::move(connections.back());
-        connections.pop_back();
+    for (std::size_t next = connections.size(); next > 0; --next) {
+        const auto position = connections.begin() + static_cast<std::ptrdiff_t>(next) - 1;
+        if ((*position)->lastUsedAt < usedSince)
+            return nullptr;
+        const bool isExcluded = std::ranges::any_of(
+                excluded, [&](const auto &entry) { return entry.lock() == *position; });
+        if (isExcluded)
+            continue;
+        std::shared_ptr<EndpointConnection> connection = std::move(*position);
+        connections.erase(position);
         if (connection->isOpen() && connection->keepAliveUntil > m_loop.now()
             && !connection->isStale())
             return connection;
--- a/drivers/traffic/endpoint_pool.h
+++ b/drivers/traffic/endpoint_pool.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -23,9 +24,12 @@
         : m_loop(loop)
     { }
 
-    /// Removes and returns an idle connection that was used at or after `usedSince`, or nullptr.
-    /// The most recently used one is taken, so that surplus connections reach their idle timeout.
-    std::shared_ptr<EndpointConnection> takeIdle(const EndpointId &endpoint, Instant usedSince);
+    /// Removes and returns an idle connection that was used at or after `usedSince` and is not one
+    /// of `excluded`, or nullptr. The most recently used one is taken, so that surplus connections
+    /// reach their idle timeout.
+    std::shared_ptr<EndpointConnection>
+    takeIdle(const EndpointId &endpoint, Instant usedSince,
+             std::span<const std::weak_ptr<const EndpointConnection>> excluded);
     /// Opens a new connection. Returns nullptr and sets `error` if that fails immediately.
     std::shared_ptr<EndpointConnection> connect(const EndpointId &endpoint,
                                                 std::string_view address, std::error_code &error);
--- a/drivers/traffic/exchange.h
+++ b/drivers/traffic/exchange.h
@@ -5,6 +5,7 @@
 #include "drivers/http/message_head.h"
 #include "drivers/traffic/attempt.h"
 #include "drivers/traffic/caller_connection.h"
+#include "drivers/traffic/endpoint_connection.h"
 #include "servers/serving/stream_progress.h"
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace monsoonsail {
 
@@ -24,6 +26,9 @@
     std::string body;
     std::shared_ptr<CallerConnection> caller; ///< Null after a disconnect or the response.
     std::map<AttemptNumber, std::unique_ptr<Attempt>> attempts;
+    /// Kept connections that have carried the request. It is not sent on them again, since an
+    /// endpoint may repeat its earlier response, which has the same id as the next one.
+    std::vector<std::weak_ptr<const EndpointConnection>> usedConnections;
 
     bool isResponseStarted = false;   ///< Whether the head of a stream was sent to the caller.
     AttemptNumber relayedAttempt = 0; ///< The attempt whose event was relayed last.
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -93,7 +93,8 @@
     exchange->attempts[start.attempt] = std::move(newAttempt);
     bool connectionReused = false;
     std::string reason;
-    std::shared_ptr<EndpointConnection> connection = connect(start, connectionReused, reason);
+    std::shared_ptr<EndpointConnection> connection =
+            connect(*exchange, start, connectionReused, reason);
     if (!connection) {
         onAttemptEnded(attempt, AttemptResult::NotSent, reason);
         return;
@@ -105,14 +106,15 @@
                  isHeadRequest(exchange->head));
 }
 
-std::shared_ptr<EndpointConnection>
-TrafficRelay::connect(const AttemptStart &start, bool &connectionReused, std::string &reason)
+std::shared_ptr<EndpointConnection> TrafficRelay::connect(const Exchange &exchange,
+                                                          const AttemptStart &start,
+                                                          bool &connectionReused,
+                                                          std::string &reason)
 {
-    if (!start.requiresNewConnection) {
-        if (auto idle = m_endpointPool.takeIdle(start.endpoint, start.connectionUsedAfter)) {
-            connectionReused = true;
-            return idle;
-        }
+    if (auto idle = m_endpointPool.takeIdle(start.endpoint, start.connectionUsedAfter,
+                                            exchange.usedConnections)) {
+        connectionReused = true;
+        return idle;
     }
     std::error_code error;
     auto connection = m_endpointPool.connect(start.endpoint, start.address, error);
@@ -205,8 +207,10 @@
             || result == AttemptResult::Declined || result == AttemptResult::Misdirected;
     if (hasResponse) {
         end.status = attempt.responseHead().status;
-        if (auto connection = attempt.releaseReusableConnection())
+        if (auto connection = attempt.releaseReusableConnection()) {
+            exchange->usedConnections.push_back(connection);
             m_endpointPool.addIdle(std::move(connection));
+        }
     }
     if (result == AttemptResult::Streamed && exchange->caller) {
         std::string output;
--- a/drivers/traffic/traffic_relay.h
+++ b/drivers/traffic/traffic_relay.h
@@ -66,8 +66,8 @@
     void onAttemptEnded(Attempt &attempt, AttemptResult result, std::string_view reason) override;
 
     Exchange *findExchange(RequestNumber request);
-    std::shared_ptr<EndpointConnection> connect(const AttemptStart &start, bool &connectionReused,
-                                                std::string &reason);
+    std::shared_ptr<EndpointConnection> connect(const Exchange &exchange, const AttemptStart &start,
+                                                bool &connectionReused, std::string &reason);
     void dropAttempt(Exchange &exchange, AttemptNumber attempt);
     void eraseExchange(RequestNumber request);
     void reportProgress();
--- a/drivers/traffic/traffic_relay_calls.cpp
+++ b/drivers/traffic/traffic_relay_calls.cpp
@@ -13,7 +13,7 @@
     if (exchange == nullptr)
         return;
     std::shared_ptr<EndpointConnection> connection =
-            m_endpointPool.takeIdle(move.source, Instant::min());
+            m_endpointPool.takeIdle(move.source, Instant::min(), {});
     std::error_code error;
     if (!connection)
         connection = m_endpointPool.connect(move.source, move.sourceAddress, error);
--- a/servers/serving/attempt_start.h
+++ b/servers/serving/attempt_start.h
@@ -33,8 +33,7 @@
     std::optional<unsigned> urgency; ///< 0 is the most urgent.
     std::optional<EventId> resumeAfter;
     CacheSource cache;
-    bool isStream = false;              ///< Whether a successful answer is relayed event by event.
-    bool requiresNewConnection = false; ///< Whether kept connections must not be used.
+    bool isStream = false;       ///< Whether a successful answer is relayed event by event.
     Instant connectionUsedAfter; ///< Kept connections are only used if they were in use after this.
     Instant connectDeadline;     ///< The request is not sent after this instant.
     Instant deadline;            ///< The endpoint may stop working at this instant.
--- a/tests/drivers/repeated_refusal_test.cpp
+++ b/tests/drivers/repeated_refusal_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(repeatDoesNotCloseTheEndpointAgain);
     CPPUNIT_TEST(repeatIsNotTheAnswerToAMove);
     CPPUNIT_TEST(repeatWithoutAnIdIsNotTheNextAnswer);
+    CPPUNIT_TEST(refusedRequestIsSentAgainOnAnotherKeptConnection);
     CPPUNIT_TEST_SUITE_END();
 
     /// Lets the endpoint answer the request "first" with `answer`, and returns its connection.
@@ -366,6 +367,31 @@
             expectOwnAnswer(client, line);
         }
     }
+
+    // The connection of the refusal was used last. No new one is opened while another is idle.
+    void refusedRequestIsSentAgainOnAnotherKeptConnection()
+    {
+        const RawSocket other = connectNext();
+        startNext();
+        const RawSocket spare = m_endpoint.accept();
+        spare.receiveUntil("\r\n\r\n");
+        const RawSocket client = connectCaller("GET /a HTTP/1.1\r\nId: first\r\n\r\n");
+        const RequestNumber request = m_listener.nextArrival().number;
+        startAttempt(request);
+        const RawSocket refusing = m_endpoint.accept();
+        refusing.receiveUntil("\r\n\r\n");
+        spare.send(ok);
+        expectOwnAnswer(other, "the spare connection");
+        refusing.send(refusal("503 Full"));
+        expectResult(AttemptResult::Declined, m_listener.nextAttemptEnd(), "first attempt");
+        startAttempt(request);
+        const std::string head = spare.receiveUntil("\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(head, head.find("Id: first\r\n") != std::string::npos);
+        spare.send("HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 0\r\n\r\n");
+        const AttemptEnd end = m_listener.nextAttemptEnd();
+        expectResult(AttemptResult::Answered, end, "second attempt");
+        CPPUNIT_ASSERT(end.connectionReused);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedRefusalTest);
--- a/tests/drivers/traffic_relay_test.cpp
+++ b/tests/drivers/traffic_relay_test.cpp
@@ -157,6 +157,7 @@
                         .result
                 == AttemptResult::Declined);
         startAttempt(1);
+        endpoint = m_endpoint.accept();
         endpoint.receiveUntil("\r\n\r\n");
         endpoint.send("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
         CPPUNIT_ASSERT(m_listener.nextAttemptEnd().result == AttemptResult::Misdirected);
