Learn nothing about an endpoint from the response to another request

What callers saw: where an endpoint repeated the refusal of an earlier request and ended the connection, later requests were refused as "not run" though the endpoint was open: the time that the repeat named began anew.

Cause: Attempt::processHead kept the traits of each response and read "leaving" from them before it compared the id. A skipped response set AttemptEnd::closedUntil of an attempt that was not declined.

Only the traits of the attempt's own response are kept and reported now. Checked for each trait: closing time (fixed), leaving (fixed), limits, keep-alive time, "not run" and "misdirected" (were read from the own response only).

Evidence: RepeatedRefusalTest::repeatDoesNotCloseTheEndpointAgain and RepeatedRefusalDaemonTest::repeatDoesNotCloseTheEndpointToOtherRequests failed before and pass now. New: repeatTellsNothingAboutTheEndpoint failed before for "leaving".

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -148,14 +148,16 @@
         m_mode = Mode::Skipped;
         return;
     }
-    m_responseTraits = m_codec.parseResponse(head);
-    m_headReceivedAt = m_loop.now();
-    if (m_responseTraits.isLeaving)
-        m_owner.onEndpointLeaving(m_start.endpoint);
-    if (m_responseTraits.callerId && *m_responseTraits.callerId != m_callerId) {
+    ResponseTraits traits = m_codec.parseResponse(head);
+    // What the response to another request says may be long out of date.
+    if (traits.callerId && *traits.callerId != m_callerId) {
         m_mode = Mode::Skipped;
         return;
     }
+    m_responseTraits = std::move(traits);
+    m_headReceivedAt = m_loop.now();
+    if (m_responseTraits.isLeaving)
+        m_owner.onEndpointLeaving(m_start.endpoint);
     m_owner.onResponseHead(m_start.endpoint, m_responseTraits);
     const bool isStream = m_start.isStream && head.status == statusOk && isEventStream(head);
     m_mode = isStream ? Mode::Relayed : Mode::Buffered;
--- a/tests/drivers/repeated_refusal_test.cpp
+++ b/tests/drivers/repeated_refusal_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(repeatDoesNotEndAStatusCheck);
     CPPUNIT_TEST(repeatedAnswerToAStatusCheckReachesNoRequest);
     CPPUNIT_TEST(repeatDoesNotCloseTheEndpointAgain);
+    CPPUNIT_TEST(repeatTellsNothingAboutTheEndpoint);
     CPPUNIT_TEST(repeatIsNotTheAnswerToAMove);
     CPPUNIT_TEST(repeatWithoutAnIdIsNotTheNextAnswer);
     CPPUNIT_TEST(refusedRequestIsSentAgainOnAnotherKeptConnection);
@@ -313,6 +314,14 @@
         CPPUNIT_ASSERT(!end.closedUntil);
     }
 
+    void repeatTellsNothingAboutTheEndpoint()
+    {
+        for (const std::string field : {"Leaving", "Two-Per-Second", "Bad-Limit"}) {
+            playAfterRequest("503 Full", refusal("503 Full", field + ": 1\r\n"), {});
+            CPPUNIT_ASSERT_MESSAGE(field, !m_listener.hasEndpointNotices());
+        }
+    }
+
     // The call may use the kept connection, and its answer has no id.
     void repeatIsNotTheAnswerToAMove()
     {
--- a/tests/drivers/traffic_relay_fixture.h
+++ b/tests/drivers/traffic_relay_fixture.h
@@ -53,6 +53,12 @@
     StreamProgress nextProgress() { return waitForNext(m_progress); }
     EndpointLimitReport nextLimitReport() { return waitForNext(m_limitReports); }
     EndpointId nextLeavingEndpoint() { return waitForNext(m_leavingEndpoints); }
+    /// Whether a limit or the leaving of an endpoint was reported and not yet read.
+    bool hasEndpointNotices()
+    {
+        const std::lock_guard lock(m_mutex);
+        return !m_limitReports.empty() || !m_leavingEndpoints.empty();
+    }
 
 private:
     template <typename Item>
