Don't take a repeated response to a request for the answer to a move

What would have been seen: the run that is to be moved counts as not moved, with the reason of a request that the engine had refused before, while the engine stops the run and hands over its KV cache.

Cause: a move uses a kept connection, its request has no id, and EndpointCall took the first response on the connection for its own. The platform says that an extra response may arrive where the next one is expected, and that its id identifies it; that holds for refusals and for all others.

A move now skips responses that name another request, at most 16, and does not use a connection that has carried the request of the run, whose repeated refusal would have the id of the run. No further connections are opened but in that case, so connections that have carried a refusal need not be left out. Status checks have connections of their own and skip nothing.

Evidence: RepeatedRefusalTest::repeatIsNotTheAnswerToAMove got "busy" for "h1" before and passes now. New: ownRepeatIsNotTheAnswerToAMove and endlessRepeatsEndAMove, which failed before as well.

--- a/drivers/traffic/endpoint_call.cpp
+++ b/drivers/traffic/endpoint_call.cpp
@@ -7,16 +7,18 @@
 namespace {
 constexpr std::uint32_t maxHeaderBytes = 16U * 1024;
 constexpr std::uint64_t maxBodyBytes = 1024ULL * 1024;
+/// For responses to other requests that precede the expected one.
+constexpr unsigned maxSkippedResponses = 16;
 } // namespace
 
 EndpointCall::EndpointCall(EventLoop &loop, std::shared_ptr<EndpointConnection> connection,
-                           Instant deadline, Callback callback)
+                           Instant deadline, ResponseFilter filter, Callback callback)
     : m_loop(loop)
     , m_connection(std::move(connection))
+    , m_filter(std::move(filter))
     , m_callback(std::move(callback))
-    , m_reader(maxHeaderBytes, maxBodyBytes)
 {
-    m_reader.setBodySink([this](std::string_view bytes) { m_body.append(bytes); });
+    startReader();
     m_connection->setUser(this);
     m_deadlineTimer = m_loop.timers().schedule(
             deadline, [this] { finish({.reason = "response timeout", .hasTimedOut = true}); });
@@ -36,16 +38,37 @@
     m_connection->send(request);
 }
 
+void EndpointCall::startReader()
+{
+    m_body.clear();
+    m_reader.emplace(maxHeaderBytes, maxBodyBytes);
+    m_reader->setBodySink([this](std::string_view bytes) { m_body.append(bytes); });
+}
+
 void EndpointCall::onBytesReceived(std::string &input)
 {
-    std::error_code error;
-    input.erase(0, m_reader.read(input, error));
-    if (error)
-        finish({.reason = "the response is not valid HTTP: " + error.message()});
-    else if (input.size() > maxHeaderBytes)
-        finish({.reason = "the response is too long"});
-    else if (m_reader.isComplete())
-        finish({.status = m_reader.head().status, .body = std::move(m_body)});
+    while (!input.empty()) {
+        std::error_code error;
+        input.erase(0, m_reader->read(input, error));
+        if (error) {
+            finish({.reason = "the response is not valid HTTP: " + error.message()});
+            return;
+        }
+        if (!m_reader->isComplete()) {
+            if (input.size() > maxHeaderBytes)
+                finish({.reason = "the response is too long"});
+            return;
+        }
+        if (m_filter(m_reader->head())) {
+            finish({.status = m_reader->head().status, .body = std::move(m_body)});
+            return;
+        }
+        if (++m_skippedResponses > maxSkippedResponses) {
+            finish({.reason = "too many responses to other requests"});
+            return;
+        }
+        startReader();
+    }
 }
 
 void EndpointCall::onDisconnected(ConnectionEnd /*end*/, std::string_view reason)
--- a/drivers/traffic/endpoint_call.h
+++ b/drivers/traffic/endpoint_call.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,10 +26,13 @@
         bool hasTimedOut = false;
     };
     using Callback = std::function<void(const Response &)>;
+    /// Whether a response belongs to the call, not to an earlier request on the connection.
+    using ResponseFilter = std::function<bool(const ResponseHead &)>;
 
-    /// `callback` is called once, unless the call is destroyed first.
+    /// `callback` is called once, unless the call is destroyed first. Responses that don't pass
+    /// `filter` are skipped.
     EndpointCall(EventLoop &loop, std::shared_ptr<EndpointConnection> connection, Instant deadline,
-                 Callback callback);
+                 ResponseFilter filter, Callback callback);
     ~EndpointCall() override;
     EndpointCall(const EndpointCall &) = delete;
     EndpointCall &operator=(const EndpointCall &) = delete;
@@ -41,13 +45,16 @@
     void onBytesReceived(std::string &input) override;
     void onDisconnected(ConnectionEnd end, std::string_view reason) override;
     void onConnected() override { }
+    void startReader();
     void finish(Response response);
 
     EventLoop &m_loop;
     std::shared_ptr<EndpointConnection> m_connection;
+    const ResponseFilter m_filter;
     const Callback m_callback;
-    HttpResponseReader m_reader;
+    std::optional<HttpResponseReader> m_reader;
     std::string m_body;
+    unsigned m_skippedResponses = 0;
     TimerQueue::Handle m_deadlineTimer;
 };
 
--- a/drivers/traffic/traffic_relay_calls.cpp
+++ b/drivers/traffic/traffic_relay_calls.cpp
@@ -13,7 +13,7 @@
     if (exchange == nullptr)
         return;
     std::shared_ptr<EndpointConnection> connection =
-            m_endpointPool.takeIdle(move.source, Instant::min(), {});
+            m_endpointPool.takeIdle(move.source, Instant::min(), exchange->usedConnections);
     std::error_code error;
     if (!connection)
         connection = m_endpointPool.connect(move.source, move.sourceAddress, error);
@@ -24,14 +24,19 @@
     }
     std::string request;
     m_codec.writeMoveRequest(exchange->callerId, move, request);
+    // The response has no id, or that of the run.
+    const auto filter = [this, callerId = exchange->callerId](const ResponseHead &head) {
+        const std::string id = m_codec.parseResponse(head).callerId.value_or("");
+        return id.empty() || id == callerId;
+    };
     const auto callback = [this, end](const EndpointCall::Response &response) mutable {
         end.reason = response.reason;
         if (response.status != 0)
             m_codec.parseMoveResponse(response.status, response.body, end);
         m_listener.onRunMoveEnded(end);
     };
-    m_endpointCalls.push_back(
-            std::make_unique<EndpointCall>(m_loop, std::move(connection), move.deadline, callback));
+    m_endpointCalls.push_back(std::make_unique<EndpointCall>(m_loop, std::move(connection),
+                                                             move.deadline, filter, callback));
     m_endpointCalls.back()->send(request);
 }
 
@@ -48,12 +53,13 @@
     }
     std::string request;
     m_codec.writeStatusCheck(check, request);
+    const auto filter = [](const ResponseHead & /*head*/) { return true; };
     const auto callback = [this,
                            endpoint = check.endpoint](const EndpointCall::Response &response) {
         m_listener.onEndpointChecked({.endpoint = endpoint, .isResponsive = !response.hasTimedOut});
     };
     m_endpointCalls.push_back(std::make_unique<EndpointCall>(m_loop, std::move(connection),
-                                                             check.deadline, callback));
+                                                             check.deadline, filter, callback));
     m_endpointCalls.back()->send(request);
 }
 
--- a/tests/drivers/repeated_refusal_test.cpp
+++ b/tests/drivers/repeated_refusal_test.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(repeatDoesNotCloseTheEndpointAgain);
     CPPUNIT_TEST(repeatTellsNothingAboutTheEndpoint);
     CPPUNIT_TEST(repeatIsNotTheAnswerToAMove);
+    CPPUNIT_TEST(ownRepeatIsNotTheAnswerToAMove);
+    CPPUNIT_TEST(endlessRepeatsEndAMove);
     CPPUNIT_TEST(repeatWithoutAnIdIsNotTheNextAnswer);
     CPPUNIT_TEST(refusedRequestIsSentAgainOnAnotherKeptConnection);
     CPPUNIT_TEST_SUITE_END();
@@ -322,6 +324,18 @@
         }
     }
 
+    void moveRun(RequestNumber request, AttemptNumber attempt)
+    {
+        m_thread->runAndWait([&] {
+            m_traffic->moveRun({.request = request,
+                                .attempt = attempt,
+                                .source = EndpointId("e"),
+                                .sourceAddress = m_endpoint.address(),
+                                .targetAddress = "127.0.0.1:1",
+                                .deadline = m_thread->loop().now() + seconds(2)});
+        });
+    }
+
     // The call may use the kept connection, and its answer has no id.
     void repeatIsNotTheAnswerToAMove()
     {
@@ -332,14 +346,7 @@
             const RawSocket run = m_endpoint.accept();
             run.receiveUntil("\r\n\r\n");
             RawSocket endpoint = refuseFirst(refusal(line));
-            m_thread->runAndWait([&] {
-                m_traffic->moveRun({.request = request,
-                                    .attempt = attempt,
-                                    .source = EndpointId("e"),
-                                    .sourceAddress = m_endpoint.address(),
-                                    .targetAddress = "127.0.0.1:1",
-                                    .deadline = m_thread->loop().now() + seconds(2)});
-            });
+            moveRun(request, attempt);
             const RawSocket call = m_endpoint.accept(milliseconds(100));
             if (!call.isOpen())
                 endpoint.receiveUntil("\r\n\r\n");
@@ -354,6 +361,47 @@
         }
     }
 
+    // The endpoint that refused the request runs it now. The repeat has the id of the run.
+    void ownRepeatIsNotTheAnswerToAMove()
+    {
+        const RawSocket client = connectNext();
+        const RequestNumber request = m_listener.nextArrival().number;
+        startAttempt(request, true);
+        const RawSocket refusing = m_endpoint.accept();
+        refusing.receiveUntil("\r\n\r\n");
+        const std::string text =
+                "HTTP/1.1 503 Full\r\nId: next\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        refusing.send(text);
+        expectResult(AttemptResult::Declined, m_listener.nextAttemptEnd(), "first attempt");
+        const AttemptNumber attempt = startAttempt(request, true);
+        const RawSocket run = m_endpoint.accept();
+        run.receiveUntil("\r\n\r\n");
+        moveRun(request, attempt);
+        const RawSocket call = m_endpoint.accept(milliseconds(100));
+        CPPUNIT_ASSERT(call.isOpen());
+        refusing.send(text);
+        call.receiveUntil("\r\n\r\n");
+        call.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+        CPPUNIT_ASSERT(m_listener.nextMoveEnd().result == RunMoveResult::Moved);
+    }
+
+    void endlessRepeatsEndAMove()
+    {
+        const RawSocket client = connectNext();
+        const RequestNumber request = m_listener.nextArrival().number;
+        const AttemptNumber attempt = startAttempt(request, true);
+        const RawSocket run = m_endpoint.accept();
+        run.receiveUntil("\r\n\r\n");
+        const RawSocket endpoint = refuseFirst(refusal("503 Full"));
+        moveRun(request, attempt);
+        endpoint.receiveUntil("\r\n\r\n");
+        for (int sent = 0; sent < 17; ++sent)
+            endpoint.send(refusal("503 Full"));
+        const RunMoveEnd end = m_listener.nextMoveEnd();
+        CPPUNIT_ASSERT(end.result == RunMoveResult::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::string("too many responses to other requests"), end.reason);
+    }
+
     // Endpoints refuse requests without an id, and their refusals have none either.
     void repeatWithoutAnIdIsNotTheNextAnswer()
     {
