Don't keep a connection after a refusal without an id

What callers would see: a request that an endpoint runs is refused as "not run", or sent once more, because of the refusal of an earlier request.

Cause: endpoints refuse requests without an id, and their refusals have none either. Repeated on the kept connection, such a refusal is taken for the response to the next request, since only an id tells responses apart.

Attempt::releaseReusableConnection closes the connection after a refusal that names no request. Endpoints name the request in all other refusals, so this costs a new connection only after requests without an id.

Evidence: RepeatedRefusalTest::repeatWithoutAnIdIsNotTheNextAnswer ended the next request as declined before and passes now.

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -250,8 +250,11 @@
 
 std::shared_ptr<EndpointConnection> Attempt::releaseReusableConnection()
 {
+    // A refusal may be repeated later. Without an id, it would be taken for the next response.
+    const bool isRefusal = m_responseTraits.wasNotRun || m_responseTraits.isMisdirected;
+    const bool namesRequest = m_responseTraits.callerId && !m_responseTraits.callerId->empty();
     const bool allowsReuse = m_reader->isComplete() && m_reader->head().keepAlive
-            && !m_reader->endsAtConnectionClose();
+            && !m_reader->endsAtConnectionClose() && (namesRequest || !isRefusal);
     if (!allowsReuse || !m_connection->isOpen() || !m_connection->hasEmptyBuffers())
         return nullptr;
     m_connection->setUser(nullptr);
