Don't end a broken-off stream with an empty one without length

What callers saw: a resumable stream broke off after some events, the next endpoint sent the head of a stream without length and closed the connection, and the caller got the last chunk: a stream that looks complete and is not.

Cause: a stream without length and events counted as broken off only if it was not resumed. A caller that resumes a stream itself may have had all of it, so an empty rest is accepted there; but the same was accepted after events that this instance had relayed.

An empty stream that ends with its connection is now whole only if a caller resumes it and no events were relayed before. Otherwise the attempt is interrupted, and the stream is resumed once more or ends without its last chunk. Streams that say where they end (length or chunks) are not affected.

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -203,12 +203,20 @@
     return false;
 }
 
+/// Whether a stream without events, which ends with its connection, has ended and not broken off.
+bool Attempt::isEmptyStreamWhole() const
+{
+    // A caller that resumes a stream may have had its last event. A stream that this instance
+    // resumes has broken off before and is not known to have ended there.
+    return m_start.resumeAfter && !m_owner.hasRelayedEvents(m_start.request);
+}
+
 void Attempt::reportResponse()
 {
     if (m_mode == Mode::Relayed && m_eventSplitter.hasRemainder())
         reportEnd(AttemptResult::Interrupted, "the stream ended inside an event");
-    else if (m_mode == Mode::Relayed && !m_hasEvents && !m_start.resumeAfter
-             && m_reader->endsAtConnectionClose())
+    else if (m_mode == Mode::Relayed && !m_hasEvents && m_reader->endsAtConnectionClose()
+             && !isEmptyStreamWhole())
         reportEnd(AttemptResult::Interrupted, "the stream ended before its first event");
     else if (m_mode == Mode::Relayed)
         reportEnd(AttemptResult::Streamed, {});
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -28,6 +28,8 @@
     /// Called for each complete event of a streamed response. `head` is the head of the response.
     virtual void onStreamEvent(Attempt &attempt, const ResponseHead &head, std::string_view event,
                                std::optional<EventId> id) = 0;
+    /// Whether events of the response, of any attempt, have been relayed to the caller.
+    virtual bool hasRelayedEvents(RequestNumber request) const = 0;
     /// Called for each response to the request.
     virtual void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) = 0;
     /// Called when a response announces that the endpoint is shutting down.
@@ -89,6 +91,7 @@
     void processBody(std::string_view bytes);
     bool relayEvents();
     bool finishResponse();
+    bool isEmptyStreamWhole() const;
     void reportResponse();
     void reportEnd(AttemptResult result, std::string_view reason);
 
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -168,6 +168,12 @@
     caller->write(output);
 }
 
+bool TrafficRelay::hasRelayedEvents(RequestNumber request) const
+{
+    const Exchange *exchange = findExchange(request);
+    return exchange != nullptr && exchange->isResponseStarted;
+}
+
 void TrafficRelay::onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits)
 {
     const bool namesLimit = traits.requestsPerSecond || traits.hasInvalidLimit;
@@ -318,7 +324,7 @@
     m_stopping = true;
 }
 
-Exchange *TrafficRelay::findExchange(RequestNumber request)
+Exchange *TrafficRelay::findExchange(RequestNumber request) const
 {
     const auto entry = m_exchanges.find(request);
     return entry == m_exchanges.end() ? nullptr : entry->second.get();
--- a/drivers/traffic/traffic_relay.h
+++ b/drivers/traffic/traffic_relay.h
@@ -61,11 +61,12 @@
 
     void onStreamEvent(Attempt &attempt, const ResponseHead &head, std::string_view event,
                        std::optional<EventId> id) override;
+    bool hasRelayedEvents(RequestNumber request) const override;
     void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) override;
     void onEndpointLeaving(const EndpointId &endpoint) override;
     void onAttemptEnded(Attempt &attempt, AttemptResult result, std::string_view reason) override;
 
-    Exchange *findExchange(RequestNumber request);
+    Exchange *findExchange(RequestNumber request) const;
     std::shared_ptr<EndpointConnection> connect(const Exchange &exchange, const AttemptStart &start,
                                                 bool &connectionReused, std::string &reason);
     void dropAttempt(Exchange &exchange, AttemptNumber attempt);
