Don't take a response that ends inside its head for an answer

What could happen: a call to the platform counts as answered with 200 and an empty body, though the platform closed the connection while it wrote the head and may have done nothing or all of what it was asked.

Cause: libcurl reports success if a connection is closed anywhere after the status line. HttpTransfer::makeResult relied on that.

HttpTransfer now reads the lines of the head, and a call is only answered if the blank line after the head of a final response has arrived. Otherwise it ends as interrupted, as after a reset. The blank line of an interim response doesn't count.

Evidence: CurlClientTest::closeInAHeadIsNoAnswer got 200 in 5 of 7 cases before and passes now. New: closeAfterAnInterimResponseIsNoAnswer failed before; wholeHeadIsAnAnswer passed before and passes now. platform_tests: 42 passed.

--- a/drivers/http/http_transfer.cpp
+++ b/drivers/http/http_transfer.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr long connectTimeoutMs = 2'000;
+constexpr int minFinalStatus = 200;
 constexpr int statusOk = 200;
 } // namespace
 
@@ -60,6 +61,8 @@
     curl_easy_setopt(m_handle, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, m_call.freshConnection ? 1L : 0L);
     curl_easy_setopt(m_handle, CURLOPT_FORBID_REUSE, m_call.freshConnection ? 1L : 0L);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &HttpTransfer::onHeaderLine);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &HttpTransfer::onBody);
     curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &HttpTransfer::onPreRequest);
@@ -67,6 +70,14 @@
     curl_easy_setopt(m_handle, CURLOPT_PRIVATE, this);
 }
 
+std::size_t HttpTransfer::onHeaderLine(char *bytes, std::size_t size, std::size_t count,
+                                       void *transfer)
+{
+    const std::size_t length = size * count;
+    static_cast<HttpTransfer *>(transfer)->receiveHeaderLine({bytes, length});
+    return length;
+}
+
 std::size_t HttpTransfer::onBody(char *bytes, std::size_t size, std::size_t count, void *transfer)
 {
     const std::size_t length = size * count;
@@ -86,6 +97,15 @@
     return CURL_PREREQFUNC_ABORT;
 }
 
+void HttpTransfer::receiveHeaderLine(std::string_view line)
+{
+    long status = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
+    // The heads of interim responses end with a blank line as well.
+    if (status >= minFinalStatus && (line == "\r\n" || line == "\n"))
+        m_isHeadComplete = true;
+}
+
 bool HttpTransfer::receiveBody(std::string_view bytes)
 {
     m_progressDeadline = m_clock.now() + m_call.progressTimeout;
@@ -104,6 +124,11 @@
     HttpResult result;
     long requestBytes = 0;
     curl_easy_getinfo(m_handle, CURLINFO_REQUEST_SIZE, &requestBytes);
+    // libcurl also reports success if the connection is closed after the status line.
+    if (code == CURLE_OK && error.empty() && !m_isHeadComplete) {
+        result.error = "the response ended inside its head";
+        return result;
+    }
     if (code == CURLE_OK && error.empty()) {
         long status = 0;
         char *contentType = nullptr;
--- a/drivers/http/http_transfer.h
+++ b/drivers/http/http_transfer.h
@@ -26,10 +26,13 @@
     void complete(CURLcode code, const std::string &error);
 
 private:
+    static std::size_t onHeaderLine(char *bytes, std::size_t size, std::size_t count,
+                                    void *transfer);
     static std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *transfer);
     static int onPreRequest(void *transfer, char *remoteAddress, char *localAddress, int remotePort,
                             int localPort);
     void configure();
+    void receiveHeaderLine(std::string_view line);
     bool receiveBody(std::string_view bytes);
     HttpResult makeResult(CURLcode code, const std::string &error) const;
 
@@ -40,6 +43,7 @@
     std::string m_body;
     Instant m_progressDeadline;
     bool m_abortedBeforeSending = false;
+    bool m_isHeadComplete = false; ///< Whether the blank line after the response's head arrived.
 };
 
 } // namespace monsoonsail
--- a/tests/drivers/curl_client_test.cpp
+++ b/tests/drivers/curl_client_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST_SUITE(CurlClientTest);
     CPPUNIT_TEST(closeInAHeadIsNoAnswer);
     CPPUNIT_TEST(resetInAHeadIsNoAnswer);
+    CPPUNIT_TEST(closeAfterAnInterimResponseIsNoAnswer);
+    CPPUNIT_TEST(wholeHeadIsAnAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     RawListener m_server;
@@ -89,6 +91,39 @@
 
     void closeInAHeadIsNoAnswer() { expectNoAnswer(false); }
     void resetInAHeadIsNoAnswer() { expectNoAnswer(true); }
+
+    // After an interim response, and with or without a body that says where it ends.
+    void wholeHeadIsAnAnswer()
+    {
+        for (const std::string text :
+             {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\n\r\nok",
+              "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+              "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}) {
+            auto call = startCall();
+            RawSocket connection = m_server.accept();
+            connection.receiveUntil("{}");
+            connection.send(text);
+            connection.close();
+            const HttpResult result = call.get();
+            CPPUNIT_ASSERT_MESSAGE(text + result.error, result.kind == HttpResult::Kind::Answered);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 200, result.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string("ok"), result.body);
+        }
+    }
+
+    // Only the head of the interim response is complete.
+    void closeAfterAnInterimResponseIsNoAnswer()
+    {
+        for (const std::string rest : {"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"}) {
+            auto call = startCall();
+            RawSocket connection = m_server.accept();
+            connection.receiveUntil("{}");
+            connection.send("HTTP/1.1 102 Wait\r\n\r\n" + rest);
+            connection.close();
+            CPPUNIT_ASSERT_MESSAGE(rest, call.get().kind == HttpResult::Kind::Interrupted);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CurlClientTest);
