Don't relay the head of another response as an event

What callers saw: a stream without length in which the endpoint failed and wrote the head of a 500 after an event; the caller got that head as an event, followed by the last chunk, so the stream looked complete.

Cause: the body of such a stream is everything up to the end of the connection, and EventSplitter takes any bytes up to a blank line for an event.

If a line of an event begins with "HTTP/1.", the attempt is interrupted before that event, and the stream is resumed elsewhere or ends without its last chunk. Only streams that end with their connection are checked: the framing of the others shows what belongs to the body. No stream that the platform describes has such a line: data and comments begin with "data:" and ":", and the field that may come first in an event names weights. Other unknown fields are still passed on.

New: EventSplitterTest::onlyLinesThatBeginAResponseAreStatusLines for lines that must and must not count, and framedStreamMayContainAnything.

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -178,6 +178,12 @@
 bool Attempt::relayEvents()
 {
     while (const auto event = m_eventSplitter.next()) {
+        // Only the end of the connection ends this stream, so the endpoint may have failed and
+        // begun another response. No field of an event has such a name.
+        if (m_reader->endsAtConnectionClose() && m_eventSplitter.hasStatusLine()) {
+            reportEnd(AttemptResult::Interrupted, "the stream contains another response");
+            return false;
+        }
         m_hasEvents = true;
         m_owner.onStreamEvent(*this, m_reader->head(), *event, m_eventSplitter.id());
         if (m_ended)
--- a/drivers/traffic/event_splitter.cpp
+++ b/drivers/traffic/event_splitter.cpp
@@ -16,13 +16,20 @@
     return lfEnd == std::string_view::npos ? lfEnd : lfEnd + 2;
 }
 
+/// Removes the first line from `text` and returns it without its line feed.
+std::string_view takeLine(std::string_view &text)
+{
+    const std::size_t end = text.find('\n');
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    return line;
+}
+
 std::optional<EventId> eventId(std::string_view event)
 {
     constexpr std::string_view field = "id:";
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        std::string_view line = takeLine(event);
         if (!line.starts_with(field))
             continue;
         line.remove_prefix(field.size());
@@ -51,4 +58,14 @@
     return event;
 }
 
+bool EventSplitter::hasStatusLine() const
+{
+    std::string_view event = std::string_view(m_buffer).substr(0, m_consumed);
+    while (!event.empty()) {
+        if (takeLine(event).starts_with("HTTP/1."))
+            return true;
+    }
+    return false;
+}
+
 } // namespace monsoonsail
--- a/drivers/traffic/event_splitter.h
+++ b/drivers/traffic/event_splitter.h
@@ -20,6 +20,8 @@
     std::optional<std::string_view> next();
     /// Returns the numeric id of the event that next() returned, if it has one.
     std::optional<EventId> id() const { return m_id; }
+    /// Whether a line of the event that next() returned is the status line of a response.
+    bool hasStatusLine() const;
     /// Whether the buffer holds bytes of an incomplete event.
     bool hasRemainder() const { return m_consumed < m_buffer.size(); }
     /// Returns the size of the incomplete event.
--- a/tests/drivers/event_splitter_test.cpp
+++ b/tests/drivers/event_splitter_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(eventsAreWholeForEverySplit);
     CPPUNIT_TEST(incompleteEventIsReported);
     CPPUNIT_TEST(idsAreParsed);
+    CPPUNIT_TEST(onlyLinesThatBeginAResponseAreStatusLines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,26 @@
         splitter.next();
         CPPUNIT_ASSERT(!splitter.id());
     }
+
+    // The platform's own field may be the first line of an event.
+    void onlyLinesThatBeginAResponseAreStatusLines()
+    {
+        for (const std::string event :
+             {"data: HTTP/1.1 500 Bad\n\n", "x-weight-versions: 2\nid: 1\ndata: a\n\n",
+              ": HTTP/1.1 500 Bad\n\n", "data: a\r\ndata:HTTP/1.1 200 OK\r\n\r\n", "HTTP\n\n"}) {
+            EventSplitter splitter;
+            splitter.add(event);
+            CPPUNIT_ASSERT(splitter.next());
+            CPPUNIT_ASSERT_MESSAGE(event, !splitter.hasStatusLine());
+        }
+        for (const std::string event :
+             {"HTTP/1.1 500 Bad\r\nContent-Length: 0\r\n\r\n", "id: 1\nHTTP/1.0 500 Bad\n\n"}) {
+            EventSplitter splitter;
+            splitter.add(event);
+            CPPUNIT_ASSERT(splitter.next());
+            CPPUNIT_ASSERT_MESSAGE(event, splitter.hasStatusLine());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
--- a/tests/drivers/resumed_stream_test.cpp
+++ b/tests/drivers/resumed_stream_test.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(headOfTheNextEndpointIsNotSeen);
     CPPUNIT_TEST(resumedStreamWithoutLengthOrEventsIsNoEnd);
     CPPUNIT_TEST(headInABodyWithoutLengthIsNotSeen);
+    CPPUNIT_TEST(framedStreamMayContainAnything);
     CPPUNIT_TEST_SUITE_END();
 
     static void sendAll(RawSocket &endpoint, const NextAnswer &answer)
@@ -228,6 +229,18 @@
         refuse(end.request, ErrorKind::AnswerInterrupted);
         CPPUNIT_ASSERT_EQUAL("f\r\n" + third + "\r\n", client.receiveUntil("never"));
     }
+
+    // The length shows that the bytes are part of the body.
+    void framedStreamMayContainAnything()
+    {
+        const RawSocket client = connectCaller();
+        const std::string text = "HTTP/1.1 x\n\n";
+        resume(beginStream(client, true),
+               {"status line in a stream with length",
+                streamHead + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text,
+                Ending::Open, AttemptResult::Streamed});
+        CPPUNIT_ASSERT_EQUAL("c\r\n" + text + "\r\n0\r\n\r\n", client.receiveUntil("0\r\n\r\n"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResumedStreamTest);
