Become ready only when the list of endpoints has been read

Cause: readiness asked for a configuration only, and the platform sends new connections to a ready daemon at once.

Evidence: EntryDaemonTest::daemonIsNotReadyBeforeItKnowsTheEndpoints, in which the list is answered 0.6 s late, failed with the daemon before and passes now; EntryDaemonTest 21 passed.

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -219,7 +219,7 @@
 
 bool ControlPlane::isReady() const
 {
-    return m_context.configuration != nullptr && !m_isStopping;
+    return m_context.configuration != nullptr && m_endpointExchange.hasReadList() && !m_isStopping;
 }
 
 void ControlPlane::armDeadlineTimer()
--- a/servers/endpoints/endpoint_exchange.h
+++ b/servers/endpoints/endpoint_exchange.h
@@ -46,6 +46,8 @@
 
     /// Returns how often the known endpoints differed from those of a reader for long.
     std::uint64_t missedChanges() const { return m_missedChanges; }
+    /// Whether this instance has read the list once.
+    bool hasReadList() const { return m_feed.hasRead(); }
     /// Whether this instance reads the store for the others.
     bool isReader() const { return m_follower.isActive(); }
 
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -34,6 +34,9 @@
     void shareNextRead() { m_sharesNextRead = true; }
     EndpointUpdateQueue &zoneUpdateQueue() { return m_zoneUpdateQueue; }
 
+    /// Whether the list has been read once.
+    bool hasRead() const { return m_firstReadAt.has_value(); }
+
     void onValueChanged(const LogRecord &record, Instant now) override;
     std::vector<std::string> knownKeys() const override;
     void onKeyRemoved(const std::string &key, LogOffset offset, Instant now) override;
--- a/tests/processes/entry_daemon_test.cpp
+++ b/tests/processes/entry_daemon_test.cpp
@@ -18,6 +18,18 @@
 
 namespace {
 
+/// Answers reads of the list of endpoints late.
+class SlowList : public CallFates
+{
+public:
+    CallFate next(std::string_view target) override
+    {
+        const bool isList = target.starts_with("/log-newest")
+                && target.find("keyed.servers") != std::string_view::npos;
+        return {.delay = milliseconds(isList ? 600 : 0)};
+    }
+};
+
 constexpr milliseconds callTimeout{4000};
 /// Limit for the time until all daemons use a published configuration.
 constexpr seconds maxConfigurationDelay{2};
@@ -41,6 +53,7 @@
     CPPUNIT_TEST(everyKindOfRequestIsServed);
     CPPUNIT_TEST(unknownRouteAndMissingKeyAreRefused);
     CPPUNIT_TEST(killedDaemonServesAfterRestart);
+    CPPUNIT_TEST(daemonIsNotReadyBeforeItKnowsTheEndpoints);
     CPPUNIT_TEST(stopFinishesOpenRequests);
     CPPUNIT_TEST(requestsAreServedDuringStoreOutage);
     CPPUNIT_TEST(daemonStartedInAnOutageBecomesReadyAfterIt);
@@ -132,6 +145,21 @@
         assertServed(0, "/book/1");
     }
 
+    // The platform sent callers to a restarted daemon that refused them for want of an endpoint.
+    void daemonIsNotReadyBeforeItKnowsTheEndpoints()
+    {
+        m_site->startUp(1);
+        DaemonProcess &daemon = *m_site->daemons().front();
+        daemon.signal(SIGKILL);
+        CPPUNIT_ASSERT_EQUAL(-SIGKILL, daemon.waitForExit(seconds(2)).value());
+        SlowList slowList;
+        m_site->platform().setCallFates(&slowList);
+        daemon.start();
+        CPPUNIT_ASSERT(waitUntil(seconds(5), [&daemon] { return daemon.isReady(); }));
+        assertServed(0, "/book/1");
+        m_site->platform().setCallFates(nullptr);
+    }
+
     void stopFinishesOpenRequests()
     {
         m_site->publish(1);
--- a/tests/processes/unreliable_calls.cpp
+++ b/tests/processes/unreliable_calls.cpp
@@ -17,8 +17,10 @@
 
 } // namespace
 
-CallFate UnreliableCalls::next(std::string_view /*target*/)
+CallFate UnreliableCalls::next(std::string_view target)
 {
+    if (target.starts_with("/log-read") || target.starts_with("/log-newest"))
+        return {};
     const std::lock_guard lock(m_mutex);
     const auto draw = [this](int min, int max) {
         return std::uniform_int_distribution<int>(min, max)(m_random);
--- a/tests/support/fake_platform.cpp
+++ b/tests/support/fake_platform.cpp
@@ -140,9 +140,7 @@
 CallFate FakePlatform::fateOf(const HttpTestRequest &request)
 {
     CallFates *fates = m_fates;
-    return fates == nullptr || request.method() != boost::beast::http::verb::post
-            ? CallFate()
-            : fates->next(targetOf(request));
+    return fates == nullptr ? CallFate() : fates->next(targetOf(request));
 }
 
 void FakePlatform::sleep(std::chrono::milliseconds time) const
