--- a/tests/servers/duty_test.cpp
+++ b/tests/servers/duty_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(successorReportsTheFixedCounts);
     CPPUNIT_TEST(countReceivedWhileASumIsStoredDoesNotChangeItsReport);
     CPPUNIT_TEST(clockThatJumpsAndReturnsDoesNotChangeAReport);
+    CPPUNIT_TEST(clockThatJumpsFarBackDoesNotChangeAReport);
     CPPUNIT_TEST(countsStoredWithoutDigestsAreReported);
     CPPUNIT_TEST(lostReportIsRepeatedWithTheSameCounts);
     CPPUNIT_TEST(reportWaitsForTheStore);
@@ -467,6 +468,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reported(window));
     }
 
+    // A holder that hears no other instance any more goes back to its own clock, which may be far
+    // behind, and has dropped the stored sums of that time.
+    void clockThatJumpsFarBackDoesNotChangeAReport()
+    {
+        Instance &first = holder();
+        const WindowNumber window = first.meter->windowAt(m_now);
+        first.meter->countRequest(AccountId("club"), m_now);
+        advance(windowLength * 80);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reported(window));
+        first.meter->setClockCorrection(-windowLength * 79);
+        advance(seconds(8));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, reported(window));
+    }
+
     void countsStoredWithoutDigestsAreReported()
     {
         m_digestsAreLost = true;
--- a/tests/servers/simulated_store.cpp
+++ b/tests/servers/simulated_store.cpp
@@ -100,8 +100,14 @@
         answer(StoreError::Expired, records);
         return;
     }
-    for (LogOffset offset = from; offset < topic.end(); ++offset)
+    for (LogOffset offset = from; offset < topic.end(); ++offset) {
+        if (records.records.size() == m_maxRecordsPerRead) {
+            records.end = offset;
+            records.isCutOff = true;
+            break;
+        }
         records.records.push_back(topic.records.at(offset - topic.first));
+    }
     answer({}, records);
 }
 
--- a/tests/servers/simulated_store.h
+++ b/tests/servers/simulated_store.h
@@ -4,6 +4,7 @@
 #include "tests/servers/store_state.h"
 #include "tests/servers/virtual_scheduler.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -24,6 +25,8 @@
 
     /// Sets how long records are kept that newer ones of their keys have replaced.
     void setRetention(Duration retention) { m_retention = retention; }
+    /// Sets how many records a read returns at most; the response is then cut off.
+    void setMaxRecordsPerRead(std::size_t count) { m_maxRecordsPerRead = count; }
     void setState(StoreState state);
     StoreState state() const { return m_state; }
 
@@ -70,6 +73,7 @@
     std::list<WaitingRead> m_waitingReads;
     std::uint64_t m_lastNumber = 0;
     Duration m_retention = std::chrono::seconds(300);
+    std::size_t m_maxRecordsPerRead = SIZE_MAX;
     StoreState m_state = StoreState::Running;
 };
 
