End the listing of a leaving endpoint when a whole read lacks it

An endpoint that leaves by its own answers stayed listed for ever if the bulletins of its removal were lost: a whole read asked for ready endpoints only, and a listed endpoint never expires. The checksum then differed for as long as the process ran, and the list was read again at intervals up to 60 s.

--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -58,7 +58,7 @@
 {
     std::vector<std::string> instances;
     for (const auto &[id, endpoint] : m_context.endpoints.all()) {
-        if (endpoint.state == EndpointState::Ready)
+        if (endpoint.state == EndpointState::Ready || endpoint.isListed)
             instances.push_back(endpoint.listing.instance);
     }
     return instances;
