Don't list an incarnation again that has been replaced

Found by a reviewer. A peer that does not know of a restart yet may announce the earlier incarnation as leaving and listed, which made the checksum differ until its next update.

--- a/servers/endpoints/endpoint_registry.cpp
+++ b/servers/endpoints/endpoint_registry.cpp
@@ -68,7 +68,9 @@
     if (entry == m_endpoints.end() || entry->second.logOffset > logOffset)
         return;
     entry->second.logOffset = logOffset;
-    change(entry->second, entry->second.state, isListed, now);
+    // An incarnation that has been replaced is no longer listed, whatever the author knows.
+    const bool isCurrent = m_currentIncarnations.at(entry->second.listing.instance) == endpoint;
+    change(entry->second, entry->second.state, isListed && isCurrent, now);
 }
 
 void EndpointRegistry::markLeaving(const EndpointId &endpoint, Instant now,
