Read the whole list when a reader takes over after a long time

Found by a reviewer. A successor read on from its own last read, 59 s old at 118 instances. Since a cut-off answer no longer counts as the end of the changes, the others took it for stale after its first answer, and 116 of 118 became readers and read their own backlogs: 421 reads in 8 s.

--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -16,6 +16,8 @@
 /// Minimum time between the starts of two reads by refresh(). Short compared with the time until a
 /// configuration has to be in force (seconds).
 constexpr Duration refreshInterval = std::chrono::milliseconds(500);
+/// A follower that becomes active later than this after its last read starts over.
+constexpr Duration maxBacklogTime = std::chrono::seconds(5);
 } // namespace
 
 TopicFollower::TopicFollower(std::string topic, Timing timing, RecordLog &log, TopicSink &sink,
@@ -30,8 +32,11 @@
 
 void TopicFollower::setActive(bool active)
 {
-    if (std::exchange(m_active, active) != active && active && !m_isReading)
-        scheduleRead(m_scheduler.now(), !m_nextOffset);
+    if (std::exchange(m_active, active) == active || !active || m_isReading)
+        return;
+    // The whole list is shorter than a long backlog of changes.
+    const Instant now = m_scheduler.now();
+    scheduleRead(now, !m_nextOffset || m_readStartedAt + maxBacklogTime < now);
 }
 
 void TopicFollower::refresh()
