Repeat a failed whole read as a whole read

Found by a reviewer. After a failed whole read an instance that does not follow the list read on from its earlier read instead; if the answer was cut off, it named endpoints but not their end.

--- a/servers/store/topic_follower.cpp
+++ b/servers/store/topic_follower.cpp
@@ -172,7 +172,7 @@
     ++m_failures;
     m_sink.onReadFailed(error, m_readStartedAt, now);
     const Duration retryDelay = std::min(initialRetryDelay * m_failures, maxRetryDelay);
-    scheduleRead(now + retryDelay, !m_nextOffset || m_needsRefresh);
+    scheduleRead(now + retryDelay, !m_nextOffset || m_needsRefresh || !m_active);
 }
 
 } // namespace monsoonsail
