Send changes that nobody knows before repeats

With 600 leaving endpoints the last one was first told of after 2.6 s, since repeats took the places in the bulletins of 60.

--- a/servers/endpoints/endpoint_update_queue.cpp
+++ b/servers/endpoints/endpoint_update_queue.cpp
@@ -18,13 +18,17 @@
     std::vector<EndpointUpdate> updates;
     // Endpoints that are not ready come first: requests sent to an endpoint that has ended are
     // lost, whereas a new endpoint only stays idle for longer.
-    appendDue(false, now, updates);
-    appendDue(true, now, updates);
+    // Changes that nobody has been told of come before repeats.
+    for (const bool isRepeat : {false, true}) {
+        appendDue(false, isRepeat, now, updates);
+        appendDue(true, isRepeat, now, updates);
+    }
     std::erase_if(m_pending, [](const auto &entry) { return entry.second.sendsLeft == 0; });
     return updates;
 }
 
-void EndpointUpdateQueue::appendDue(bool isReady, Instant now, std::vector<EndpointUpdate> &updates)
+void EndpointUpdateQueue::appendDue(bool isReady, bool isRepeat, Instant now,
+                                    std::vector<EndpointUpdate> &updates)
 {
     for (auto &[id, pending] : m_pending) {
         if (updates.size() == maxUpdatesPerBulletin)
@@ -35,6 +39,7 @@
             continue;
         }
         if (pending.sendsLeft == 0 || pending.nextSendAt > now
+            || (pending.sendsLeft < sendsPerUpdate) != isRepeat
             || (endpoint->state == EndpointState::Ready) != isReady)
             continue;
         --pending.sendsLeft;
--- a/servers/endpoints/endpoint_update_queue.h
+++ b/servers/endpoints/endpoint_update_queue.h
@@ -36,7 +36,7 @@
         Instant nextSendAt;
     };
 
-    void appendDue(bool isReady, Instant now, std::vector<EndpointUpdate> &updates);
+    void appendDue(bool isReady, bool isRepeat, Instant now, std::vector<EndpointUpdate> &updates);
 
     const EndpointRegistry &m_endpoints;
     std::map<EndpointId, PendingUpdate> m_pending;
