--- a/servers/duties/usage_reporter.cpp
+++ b/servers/duties/usage_reporter.cpp
@@ -88,8 +88,11 @@
     for (WindowNumber window = current > retainedWindows ? current - retainedWindows : 0;
          window < current; ++window) {
         const Instant end = m_meter.windowEnd(window);
+        // A window whose sum has been dropped may have been reported before.
+        const bool mayBeForgotten =
+                m_fixed.size() == maxFixedWindows && window < m_fixed.begin()->first;
         if (now < end + m_timing.settleDelay || now >= end + m_timing.reportDeadline
-            || m_reported.contains(window))
+            || m_reported.contains(window) || mayBeForgotten)
             continue;
         return window;
     }
