Move runs off a leaving engine before its drain time is over

Found by a reviewer. An engine that announced that it ends later than its drain time kept its runs until 0.8 s before that end; a move that failed then sent a run back to it 2.7 s after the notice, with a drain time of 2 s. Runs are now moved by the earlier of the two. A run that can't be repeated and whose move ends later than the drain time still returns to its source: open.

--- a/servers/serving/evacuation.cpp
+++ b/servers/serving/evacuation.cpp
@@ -30,7 +30,11 @@
 {
     std::vector<EndpointId> leaving;
     for (const auto &[id, endpoint] : endpoints.all()) {
-        if (!endpoint.isUsable(now) && expectedEnd(endpoint, drainTime) - evacuationLeadTime <= now)
+        // A move that fails may send the run back to its source, which is allowed until its drain
+        // time is over, however long it serves.
+        const Instant end =
+                std::min(expectedEnd(endpoint, drainTime), endpoint.stateSince + drainTime);
+        if (!endpoint.isUsable(now) && end - evacuationLeadTime <= now)
             leaving.push_back(id);
     }
     std::vector<Evacuation> due;
