Measure an outage of the store from the last read of any instance

An instance that reads the store rarely made its first failing call late in an outage, or none, and took lapsed entries of living endpoints for removed ones. The reads of readers, as their digests tell, now show how long the store was away: beyond the time that a takeover needs, nobody could read it.

--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -16,6 +16,10 @@
 /// the outage began, so entries may lapse after two intervals.
 constexpr int heartbeatsToLapse = 2;
 
+/// The data of a reader is never older than the drain time before others read the store as well;
+/// this is for their first read and its way here.
+constexpr Duration takeoverReserve = std::chrono::seconds(1);
+
 std::string_view stateName(EndpointState state)
 {
     switch (state) {
@@ -82,7 +86,8 @@
         m_changeHandler();
     if (mayHaveLapsed(now))
         m_lapseGraceUntil = m_readFailedAt + lapseGrace;
-    m_interruptedSince.reset();
+    m_isInterrupted = false;
+    m_storeReadAt = std::max(m_storeReadAt, asOf);
     for (const EndpointId &endpoint : m_context.endpoints.removeExpired(now)) {
         m_context.enginePlacer->removeEndpoint(endpoint);
         m_context.servicePlacer->removeEndpoint(endpoint);
@@ -92,11 +97,21 @@
     }
 }
 
-void EndpointFeed::onReadFailed(std::error_code /*error*/, Instant since, Instant now)
+void EndpointFeed::onReadFailed(std::error_code /*error*/, Instant /*since*/, Instant now)
 {
     m_readFailedAt = now;
-    if (!m_interruptedSince)
-        m_interruptedSince = since;
+    m_isInterrupted = true;
+}
+
+// If nobody has read the store for longer than another reader takes to stand in for a failed one,
+// the store was away, and entries may have lapsed although this instance made no call.
+void EndpointFeed::recordStoreReadByPeer(Instant asOf)
+{
+    const bool wasAway = m_storeReadAt != Instant::min()
+            && m_storeReadAt + m_context.limits.drainTime + takeoverReserve < asOf;
+    if (wasAway)
+        m_lapseGraceUntil = std::max(m_lapseGraceUntil, asOf + lapseGrace);
+    m_storeReadAt = std::max(m_storeReadAt, asOf);
 }
 
 // While the store is unreachable, entries lapse although their endpoints are running. One or two
@@ -104,11 +119,9 @@
 // that has ended, which must not be used.
 bool EndpointFeed::mayHaveLapsed(Instant now) const
 {
-    if (!m_interruptedSince)
-        return false;
     // If only this instance was refused or cut off, entries that are gone have not lapsed.
-    const Instant interruptedSince = std::max(*m_interruptedSince, m_readByPeerAt);
-    return interruptedSince + m_context.limits.heartbeatInterval * heartbeatsToLapse <= now;
+    return m_isInterrupted
+            && m_storeReadAt + m_context.limits.heartbeatInterval * heartbeatsToLapse <= now;
 }
 
 void EndpointFeed::handleStateChange(const Endpoint &endpoint)
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -26,9 +26,8 @@
     /// Sets whether to queue changes for sending to the other entry instances. Changes found by the
     /// first read of the list are never queued, since the other instances already know them.
     void setPublishesUpdates(bool publishes) { m_publishesUpdates = publishes; }
-    /// Records that another entry instance has read the store up to `asOf`, so that entries can't
-    /// have lapsed for its absence.
-    void recordStoreReadByPeer(Instant asOf) { m_readByPeerAt = std::max(m_readByPeerAt, asOf); }
+    /// Records that another entry instance has read the store up to `asOf`.
+    void recordStoreReadByPeer(Instant asOf);
     EndpointUpdateQueue &updateQueue() { return m_updateQueue; }
     /// Makes the changes that the next read finds known to the own availability zone as well.
     void shareNextRead() { m_sharesNextRead = true; }
@@ -57,10 +56,11 @@
     bool m_sharesNextRead = false;
     bool m_publishesUpdates = true;
     std::optional<Instant> m_firstReadAt;
-    /// Start of the first of the calls that failed in a row.
-    std::optional<Instant> m_interruptedSince;
-    Instant m_readFailedAt; ///< When the last of them failed.
-    Instant m_readByPeerAt = Instant::min();
+    /// Whether the newest call failed.
+    bool m_isInterrupted = false;
+    Instant m_readFailedAt; ///< When the last call that failed did so.
+    /// Newest instant at which any entry instance is known to have read the store.
+    Instant m_storeReadAt = Instant::min();
     /// Entries dropped until this instant may only have lapsed.
     Instant m_lapseGraceUntil = Instant::min();
 };
