Keep the evidence of peers about prompt parts to complete digests

Cause: every instance repeated the evidence of all instances in each of its digests for 3 s, though each sees it in the author's own digests.

Evidence: PromptQuarantineTest::evidenceOfPeersIsInCompleteDigestsOnly failed before and passes; PromptQuarantineTest 20 and PromptCrashTest 1 passed.

--- a/servers/quarantine/prompt_quarantine.cpp
+++ b/servers/quarantine/prompt_quarantine.cpp
@@ -73,8 +73,11 @@
 {
     bool isNew = false;
     std::uint32_t position = 0;
-    for (const PromptPart &part : bounded(parts))
-        isNew = addCrash(partHash(service, part), position++, endpoint, now) || isNew;
+    for (const PromptPart &part : bounded(parts)) {
+        const PartHash hash = partHash(service, part);
+        isNew = addCrash(hash, position++, endpoint, now) || isNew;
+        m_ownCrashes[{hash, endpoint}] = now;
+    }
     if (isNew)
         updateVerdicts();
 }
@@ -288,18 +291,30 @@
                           lastCrash(entry->second.crashes));
     });
     const auto isNew = [now](Instant at) { return at + newEvidenceTime > now; };
+    // What peers have seen is in their own digests. If all instances repeated it in each of theirs,
+    // the loss of a zone would make all digests of a large fleet several times as long.
+    const auto isOwnAndNew = [&](PartHash part, EndpointHash endpoint) {
+        const auto own = m_ownCrashes.find({part, endpoint});
+        return own != m_ownCrashes.end() && isNew(own->second);
+    };
     // A zone that is lost leaves single ends for many parts that are known to be sound.
     const auto isDue = [&](const Suspects::value_type &entry) {
-        const auto &crashes = entry.second.crashes;
-        const bool isRelevant = crashes.size() > 1 || !m_soundRuns.lastUse(entry.first);
-        return isNew(lastCrash(crashes)) || (digest.isComplete && isRelevant);
+        const auto &[part, suspect] = entry;
+        const bool isRelevant = suspect.crashes.size() > 1 || !m_soundRuns.lastUse(part);
+        if (digest.isComplete)
+            return isRelevant || isNew(lastCrash(suspect.crashes));
+        return std::ranges::any_of(suspect.crashes, [&](const auto &crash) {
+            return isOwnAndNew(entry.first, crash.first);
+        });
     };
     std::erase_if(suspects, [&](const auto *entry) { return !isDue(*entry); });
     for (const auto *entry : suspects) {
         const auto &[part, suspect] = *entry;
         std::vector<std::pair<Instant, EndpointHash>> newest;
-        for (const auto &[endpoint, at] : suspect.crashes)
-            newest.emplace_back(at, endpoint);
+        for (const auto &[endpoint, at] : suspect.crashes) {
+            if (digest.isComplete || isOwnAndNew(part, endpoint))
+                newest.emplace_back(at, endpoint);
+        }
         std::ranges::sort(newest, std::ranges::greater());
         newest.resize(std::min(newest.size(), maxCrashesOfPartInDigest));
         for (const auto &[at, endpoint] : newest) {
@@ -334,6 +349,8 @@
     m_expiredAt = now;
     std::erase_if(m_outdatedReports,
                   [now](const auto &entry) { return entry.second + outdatedReportTime < now; });
+    std::erase_if(m_ownCrashes,
+                  [now](const auto &entry) { return entry.second + newEvidenceTime < now; });
     std::erase_if(m_liveEndpoints,
                   [now](const auto &entry) { return entry.second + liveReportTime < now; });
     std::erase_if(m_peerSoundRuns,
--- a/servers/quarantine/prompt_quarantine.h
+++ b/servers/quarantine/prompt_quarantine.h
@@ -88,6 +88,8 @@
     RecentParts m_soundRuns;                       ///< On endpoints that this instance used.
     std::map<PartHash, Instant> m_peerSoundRuns;   ///< As peers report them, for suspects only.
     std::map<PartHash, Instant> m_outdatedReports; ///< Parts that peers suspect wrongly.
+    /// Ends that this instance has seen itself, by part; new ones only.
+    std::map<std::pair<PartHash, EndpointHash>, Instant> m_ownCrashes;
     std::map<EndpointHash, Instant> m_endedEndpoints;
     std::map<EndpointHash, Instant> m_liveEndpoints; ///< Reported as ended, but seen alive since.
     Instant m_expiredAt;
--- a/tests/servers/prompt_quarantine_test.cpp
+++ b/tests/servers/prompt_quarantine_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(singleTrialIsMadeByOneInstance);
     CPPUNIT_TEST(evidenceStaysBoundedUnderManyNames);
     CPPUNIT_TEST(oldEvidenceIsInCompleteDigestsOnly);
+    CPPUNIT_TEST(evidenceOfPeersIsInCompleteDigestsOnly);
     CPPUNIT_TEST(refusedRequestIsNeitherSentNorCharged);
     CPPUNIT_TEST(crashingRequestIsNotRepeatedWithoutEnd);
     CPPUNIT_TEST(quarantinedRunIsNotRestartedOffALeavingEngine);
@@ -256,6 +257,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{6}, recordsIn(true));
     }
 
+    // After the loss of a zone every digest of a large fleet carried the evidence of all instances.
+    void evidenceOfPeersIsInCompleteDigestsOnly()
+    {
+        for (unsigned count = 0; count < 3; ++count)
+            crash(m_quarantine, {1, 666});
+        exchange(m_quarantine, m_peer);
+        CPPUNIT_ASSERT(isRefused(m_peer, {666}));
+        Digest digest{.isComplete = false};
+        m_peer.fillDigest(digest, m_now);
+        CPPUNIT_ASSERT(digest.partCrashes.empty());
+        digest.isComplete = true;
+        m_peer.fillDigest(digest, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, digest.partCrashes.size());
+    }
+
     void refusedRequestIsNeitherSentNorCharged()
     {
         ServingFixture fixture;
