Share only what a read finds with the own availability zone

By reading: an instance that waits for a read of the list, since the store refuses it, repeated every change that a bulletin brought to its availability zone, three times each.

Evidence: EndpointFeedTest::onlyChangesThatAReadFindsAreSharedWithTheZone failed before and passes; EndpointFeedTest 10 and EndpointExchangeTest 21 passed.

--- a/servers/endpoints/endpoint_exchange.cpp
+++ b/servers/endpoints/endpoint_exchange.cpp
@@ -12,7 +12,7 @@
 /// Minimum time between two bulletins, so that changes in quick succession share one.
 constexpr Duration minBulletinInterval = std::chrono::milliseconds(40);
 /// Delay between the instances of an availability zone that have missed the same change, so that
-/// the first one reads the list and tells the others. At its maximum all have read it in time.
+/// the first one can read the list and tell the others.
 constexpr Duration rankDelay = std::chrono::milliseconds(30);
 constexpr Duration maxRankDelay = std::chrono::milliseconds(450);
 /// Each endpoint writes about once a second, so without a minimum interval every write would cost a
--- a/servers/endpoints/endpoint_feed.cpp
+++ b/servers/endpoints/endpoint_feed.cpp
@@ -55,7 +55,9 @@
         return;
     }
     listing->logOffset = record.offset;
+    m_isApplyingRead = true;
     m_context.endpoints.applyListing(*listing, now);
+    m_isApplyingRead = false;
 }
 
 std::vector<std::string> EndpointFeed::knownKeys() const
@@ -72,7 +74,9 @@
 {
     const Instant usableUntil =
             mayHaveLapsed(now) ? m_readFailedAt + lapseGrace : m_lapseGraceUntil;
+    m_isApplyingRead = true;
     m_context.endpoints.markUnlisted(key, offset, usableUntil, now);
+    m_isApplyingRead = false;
 }
 
 void EndpointFeed::onCaughtUp(LogOffset end, Instant asOf, Instant now)
@@ -129,7 +133,7 @@
     m_hasChanges = true;
     if (m_firstReadAt && m_publishesUpdates)
         m_updateQueue.add(endpoint.id);
-    if (m_sharesNextRead)
+    if (m_sharesNextRead && m_isApplyingRead)
         m_zoneUpdateQueue.add(endpoint.id);
     m_context.log.write(LogLevel::Info, "endpoint-state", {},
                         {{"endpoint", endpoint.id.view()},
--- a/servers/endpoints/endpoint_feed.h
+++ b/servers/endpoints/endpoint_feed.h
@@ -29,7 +29,7 @@
     /// Records that another entry instance has read the store up to `asOf`.
     void recordStoreReadByPeer(Instant asOf);
     EndpointUpdateQueue &updateQueue() { return m_updateQueue; }
-    /// Makes the changes that the next read finds known to the own availability zone as well.
+    /// Queues the changes that the next read finds for the instances of the own availability zone.
     void shareNextRead() { m_sharesNextRead = true; }
     EndpointUpdateQueue &zoneUpdateQueue() { return m_zoneUpdateQueue; }
 
@@ -54,6 +54,7 @@
     EndpointUpdateQueue m_updateQueue;
     EndpointUpdateQueue m_zoneUpdateQueue;
     bool m_sharesNextRead = false;
+    bool m_isApplyingRead = false; ///< Whether a change comes from the list, not from a bulletin.
     bool m_publishesUpdates = true;
     std::optional<Instant> m_firstReadAt;
     /// Whether the newest call failed.
--- a/servers/endpoints/list_comparison.h
+++ b/servers/endpoints/list_comparison.h
@@ -22,7 +22,7 @@
         std::uint64_t listEnd = 0;  ///< End of the part of the list's log that it has read.
         std::uint64_t checksum = 0; ///< See EndpointRegistry::listChecksum().
     };
-    /// A difference that has lasted for longer than a bulletin and its repeats take.
+    /// A difference that was still there when the reader's next report was due.
     struct Difference
     {
         std::string reader;
@@ -43,8 +43,8 @@
     /// Whether the endpoints are the same as those in the newest report of the reader, or it has
     /// sent none.
     bool agreesWith(std::string_view reader) const;
-    /// Returns a difference that has lasted for `delay` longer than bulletins take, once for each
-    /// time that the list should be read for it.
+    /// Returns a difference that has lasted, for `delay` beyond the reader's next report, once for
+    /// each time that the list should be read for it.
     std::optional<Difference> takeLasting(Instant now, Duration delay = {});
     void clear() { m_readers.clear(); }
 
--- a/tests/servers/endpoint_feed_test.cpp
+++ b/tests/servers/endpoint_feed_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(dropIsUnusableAtOnceIfPeersReachedTheStore);
     CPPUNIT_TEST(dropSoonAfterAnOutageStaysUsableForAWhile);
     CPPUNIT_TEST(wholeReadRemovesAnEndpointThatOnlyABulletinNamed);
+    CPPUNIT_TEST(onlyChangesThatAReadFindsAreSharedWithTheZone);
     CPPUNIT_TEST(firstReadQueuesNoUpdates);
     CPPUNIT_TEST(changeIsSentAFewTimes);
     CPPUNIT_TEST_SUITE_END();
@@ -178,6 +179,24 @@
         CPPUNIT_ASSERT(!isUsable("e9"));
     }
 
+    // Instances whose reads failed repeated every bulletin to their availability zone.
+    void onlyChangesThatAReadFindsAreSharedWithTheZone()
+    {
+        addEntry();
+        m_feed->setPublishesUpdates(false);
+        m_feed->shareNextRead();
+        std::string fault;
+        EndpointUpdate update{
+                .listing = *m_codec.parseEndpointListing("e9", "", m_fixture.now, fault)};
+        update.listing.logOffset = 1;
+        applyEndpointUpdate(update, {}, m_fixture.context.endpoints, m_fixture.now);
+        CPPUNIT_ASSERT(isUsable("e9"));
+        CPPUNIT_ASSERT(m_feed->zoneUpdateQueue().takeDue(m_fixture.now).empty());
+        dropEntry();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             m_feed->zoneUpdateQueue().takeDue(m_fixture.now).size());
+    }
+
     // A starting instance may read 1,000 endpoints at once, which don't fit into a datagram.
     void firstReadQueuesNoUpdates()
     {
