--- a/servers/mesh/bulletin.h
+++ b/servers/mesh/bulletin.h
@@ -14,8 +14,8 @@
     /// identity and the time of its end are transmitted.
     EndpointListing listing;
     EndpointState state = EndpointState::Ready;
-    bool isListed = false; ///< See Endpoint.
-    Duration age{};        ///< Time since the author learned of the change.
+    bool isListed = false;                ///< See Endpoint.
+    Duration age{};                       ///< Time since the author learned of the change.
     Instant usableUntil = Instant::min(); ///< See Endpoint; Instant::min() for never.
 };
 
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -94,7 +94,7 @@
     /// End of the part of the log of the endpoints' list that the sender has read. 0 if the sender
     /// is not a reader, or has not read it yet.
     std::uint64_t listEnd = 0;
-    std::uint64_t listChecksum = 0; ///< See EndpointRegistry; only with `listEnd`.
+    std::uint64_t listChecksum = 0;  ///< See EndpointRegistry; only with `listEnd`.
     std::uint64_t fencingNumber = 0; ///< Not 0 while the sender holds the duties.
     std::vector<EndpointLoad> endpointLoads;
     std::vector<AccountUse> accountUses;
--- a/tests/servers/list_review_test.cpp
+++ b/tests/servers/list_review_test.cpp
@@ -80,9 +80,8 @@
             most = std::max(most, readers(fleet).size());
         }
         std::ostringstream text;
-        text << "at most " << most << " readers at once, "
-             << fleet.listReads() - readsBefore << " reads in 8 s, " << fleet.lateUses().size()
-             << " late uses";
+        text << "at most " << most << " readers at once, " << fleet.listReads() - readsBefore
+             << " reads in 8 s, " << fleet.lateUses().size() << " late uses";
         std::cout << "\n  " << text.str() << std::flush;
         CPPUNIT_ASSERT_MESSAGE(text.str(), fleet.lateUses().empty());
         constexpr std::size_t aFew = 12; // A tenth of the fleet.
@@ -126,7 +125,8 @@
     void replacedIncarnationIsNotListedAgain()
     {
         const Instant now = instantFromMicroseconds(1'000'000'000);
-        const EndpointListing old{.instance = "e9", .startedMs = 1, .sequence = 5, .logOffset = 100};
+        const EndpointListing old{
+                .instance = "e9", .startedMs = 1, .sequence = 5, .logOffset = 100};
         const EndpointListing restarted{
                 .instance = "e9", .startedMs = 2, .sequence = 1, .logOffset = 110};
         EndpointRegistry expected;
