Show that the quarantine of prompt parts refuses sound requests

If the first requests with a new shared part also hold a part that crashes workers and stands before it, the new part is taken for the cause, and all sound requests with it are refused for five minutes.

--- a/review/standins.py
+++ b/review/standins.py
@@ -74,7 +74,10 @@
     if "chunked" in fields.get("transfer-encoding", ""):
         body = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.split(b";")[0], 16)
             body += await reader.readexactly(size)
             await reader.readline()
             if size == 0:
@@ -225,17 +228,39 @@
         self.sequence = 0
         self.state = "ready"
         self.port = 0
+        self.server = None
+        self.down = False
+        self.connections = set()
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        await self.listen()
         await self.report()
         asyncio.ensure_future(self.beat())
 
+    async def listen(self):
+        self.server = await asyncio.start_server(
+            self.serve, "127.0.0.1", self.port, reuse_address=True
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def crash(self, back_s):
+        """Ends all connections and listens no more. It is back after a time, with a new boot."""
+        self.down = True
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        await asyncio.sleep(back_s)
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.down = False
+        await self.listen()
+        await self.report("ready")
+
     async def beat(self):
         while True:
             await asyncio.sleep(1.2)
-            await self.report()
+            if not self.down:
+                await self.report()
 
     async def report(self, state=None):
         """Writes the worker's entry to the store."""
@@ -257,6 +282,7 @@
         await self.platform.put("keyed.servers", self.name, json.dumps(entry).encode())
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -281,6 +307,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.transport.abort()
 
 
@@ -434,6 +461,9 @@
             except asyncio.TimeoutError:
                 record.line("the script took too long")
                 return 2
+            except Exception as error:  # An error of the script is no broken rule.
+                record.line(f"the script failed: {error!r}")
+                return 2
             finally:
                 for daemon in daemons:
                     await daemon.end()
