--- a/review/standins.py
+++ b/review/standins.py
@@ -329,15 +329,15 @@
     }
 
 
-def engine(moves=False):
+def engine():
     """Engine of the site mifuko-laini."""
     return {
         "Slots": 64,
         "KvCapacity": 591878,
         "KvTokenBytes": 163840,
         "LinkMbps": 1100000.0,
-        "Moves": moves,
-        "Backups": False,
+        "Moves": True,
+        "Backups": True,
         "Stride": 6,
         "HandleS": 5.0,
         "Models": [{"Name": "m"}],
