--- a/review/standins.py
+++ b/review/standins.py
@@ -20,6 +20,7 @@
 TENANT = "hule930"
 HOST = "ficu95.example"
 ZONE = "arusha-mjini"
+RESULT_BASE = 10
 
 _started = time.monotonic()
 
@@ -451,7 +452,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     if not os.access(DAEMON, os.X_OK):
         record.line("target/monsoonsaild is missing; it is built by the deploy file")
-        raise SystemExit(2)
+        raise SystemExit(RESULT_BASE + 2)
 
     async def run():
         with tempfile.TemporaryDirectory() as temporary:
@@ -473,7 +474,8 @@
         record.line(
             {0: "the rule held", 1: "THE RULE WAS BROKEN", 2: "the case could not run"}[status]
         )
-        # The stand-ins are not ended one by one.
-        os._exit(status)
+        # The stand-ins are not ended one by one. An interpreter that fails exits with 1, so run.sh
+        # takes only these numbers for results.
+        os._exit(RESULT_BASE + status)
 
     asyncio.run(finish())
