Tell since when a peer has had a later configuration

They did not say when an instance heard of a later configuration, from whom, how long it went on with the old one, and, for a request that was served, how old the knowledge was that its configuration is the newest. Change: the line configuration-announced; behind_ms and configuration_age_ms in configuration-in-force, attempt-started and request-refused; the gauge monsoonsail_configuration_behind_seconds and the histogram monsoonsail_configuration_delay_seconds by source.

--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -60,6 +60,11 @@
                                    .Name("monsoonsail_platform_calls_total")
                                    .Help("Calls to the platform, by kind and topic or duty")
                                    .Register(m_registry))
+    , m_configurationDelayFamily(prometheus::BuildHistogram()
+                                         .Name("monsoonsail_configuration_delay_seconds")
+                                         .Help("Time for which peers had a later configuration "
+                                               "before one took effect here, by its source")
+                                         .Register(m_registry))
     , m_endpointUpdateAge(prometheus::BuildHistogram()
                                   .Name("monsoonsail_endpoint_update_seconds")
                                   .Help("Age of changes of endpoints at the sending of the "
@@ -145,6 +150,17 @@
     m_endpointUpdateAge.Observe(toSeconds(age));
 }
 
+void PrometheusMetrics::recordConfiguration(std::string_view source, Duration behindFor)
+{
+    findOrAddSeries(
+            m_configurationDelays, source, {},
+            [&]() -> auto & {
+                return m_configurationDelayFamily.Add({{"source", std::string(source)}},
+                                                      latencyBucketBounds());
+            })
+            .Observe(toSeconds(behindFor));
+}
+
 void PrometheusMetrics::recordLoopDelay(Duration delay)
 {
     m_loopDelay.Observe(toSeconds(delay));
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -28,6 +28,7 @@
     void recordAttempt(std::string_view service, AttemptResult result) override;
     void recordPlatformCall(std::string_view call, std::string_view subject) override;
     void recordEndpointUpdate(Duration age) override;
+    void recordConfiguration(std::string_view source, Duration behindFor) override;
     /// Records how late a periodic task of the control thread ran.
     void recordLoopDelay(Duration delay);
 
@@ -50,6 +51,7 @@
     Counters &m_refusalFamily;
     Counters &m_attemptFamily;
     Counters &m_platformCallFamily;
+    Histograms &m_configurationDelayFamily;
     prometheus::Histogram &m_endpointUpdateAge;
     prometheus::Histogram &m_loopDelay;
     SeriesMap<prometheus::Histogram> m_requestTimes;
@@ -58,6 +60,7 @@
     SeriesMap<prometheus::Counter> m_refusals;
     SeriesMap<prometheus::Counter> m_attempts;
     SeriesMap<prometheus::Counter> m_platformCalls;
+    SeriesMap<prometheus::Histogram> m_configurationDelays;
     std::map<std::string, prometheus::Gauge *> m_gauges;
 };
 
--- a/main/monsoonsaild/metrics_page.cpp
+++ b/main/monsoonsaild/metrics_page.cpp
@@ -23,6 +23,9 @@
     metrics.setGauge("monsoonsail_configuration_age_seconds",
                      "Time since the configuration was known to be the newest",
                      toSeconds(now - context.configurationAsOf));
+    metrics.setGauge("monsoonsail_configuration_behind_seconds",
+                     "Time for which a peer has had a later configuration, 0 if none has",
+                     toSeconds(context.configurationBehindFor(now)));
     metrics.setGauge("monsoonsail_endpoints_age_seconds",
                      "Time since all changes of endpoints were known",
                      toSeconds(now - context.endpointsAsOf));
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -30,6 +30,9 @@
     /// Records a change of an endpoint that this instance learned of by a bulletin. `age` is the
     /// time for which the author of the bulletin had known it when it was sent.
     virtual void recordEndpointUpdate(Duration age) = 0;
+    /// Records a configuration that took effect. `source` says where its text came from;
+    /// `behindFor` is the time for which peers had a later one than this instance.
+    virtual void recordConfiguration(std::string_view source, Duration behindFor) = 0;
 };
 
 } // namespace monsoonsail
--- a/servers/serving/attempt_launcher.cpp
+++ b/servers/serving/attempt_launcher.cpp
@@ -162,7 +162,9 @@
              {"excused_runs", excusedRuns},
              {"uncached_tokens", static_cast<std::int64_t>(placement.uncachedTokens)},
              {"moved", placement.cache.kind == CacheSource::Kind::Moved},
-             {"revision", static_cast<std::int64_t>(record.configuration->revision())}});
+             {"revision", static_cast<std::int64_t>(record.configuration->revision())},
+             {"configuration_age_ms", toMs(now - m_context.configurationAsOf)},
+             {"behind_ms", toMs(m_context.configurationBehindFor(now))}});
     m_context.traffic.startAttempt(
             {.request = arrival.number,
              .attempt = number,
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -20,6 +20,7 @@
 #include "servers/site/site_configuration.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace monsoonsail {
@@ -46,6 +47,11 @@
     {
         return isConfigurationReplaced || configurationCheckedFrom > now;
     }
+    /// Returns for how long a live peer has had a later configuration than the one in force.
+    Duration configurationBehindFor(Instant now) const
+    {
+        return now - configurationBehindSince.value_or(now);
+    }
     /// Returns the placer for the endpoints of a service.
     Placer &placerFor(const Service &service) const
     {
@@ -74,6 +80,8 @@
     /// Before this instant, live peers may have a later configuration without having been heard.
     Instant configurationCertainFrom = Instant::min();
     Revision announcedRevision = 0; ///< Highest one that a live peer has in force.
+    /// Since when a live peer has had a later configuration than the one in force; empty if none.
+    std::optional<Instant> configurationBehindSince;
     /// Whether the store, as read since, lacks the configuration of that revision.
     bool isConfigurationReplaced = false;
     /// Before this instant, the one in force may be of the copy from which the store came back.
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -330,6 +330,7 @@
              {"path", record.arrival.path},
              {"revision", toLog(record.configuration ? record.configuration->revision() : 0)},
              {"configuration_age_ms", toMs(now - m_context.configurationAsOf)},
+             {"behind_ms", toMs(m_context.configurationBehindFor(now))},
              {"endpoints_age_ms", toMs(now - m_context.endpointsAsOf)}});
     m_context.metrics.recordRefusal(accountName(record), kind);
     if (!record.mayHaveRun && record.account != nullptr)
--- a/servers/site/configuration_feed.cpp
+++ b/servers/site/configuration_feed.cpp
@@ -50,16 +50,21 @@
 
 void ConfigurationFeed::recordAnnouncement(const Peer &peer, Instant now)
 {
-    setAnnouncedRevision(std::max(m_context.announcedRevision, peer.digest.revision), now);
+    if (peer.digest.revision > m_context.announcedRevision)
+        setAnnouncedRevision(peer.digest.revision, peer.digest.instance, now);
 }
 
 void ConfigurationFeed::updateFromPeers(const Mesh &mesh, bool isReader, Instant now)
 {
     Revision announced = 0;
+    std::string_view announcer;
     for (const auto &[name, peer] : mesh.peers()) {
         if (!Mesh::isLive(peer, now))
             continue;
-        announced = std::max(announced, peer.digest.revision);
+        if (peer.digest.revision > announced) {
+            announced = peer.digest.revision;
+            announcer = name;
+        }
         if (!isReader && peer.digest.isReader && !peer.digest.isStoreBehind
             && peer.digest.revision == ownRevision()) {
             m_context.isStoreBehind = false;
@@ -67,7 +72,7 @@
                                                    peer.receivedAt - peer.digest.configurationAge);
         }
     }
-    setAnnouncedRevision(announced, now);
+    setAnnouncedRevision(announced, announcer, now);
 }
 
 bool ConfigurationFeed::needsRead(Instant now) const
@@ -75,15 +80,23 @@
     return m_laterHeardAt && (m_heardRevision > m_missingRevision || m_nextSearchAt <= now);
 }
 
-void ConfigurationFeed::setAnnouncedRevision(Revision announced, Instant now)
+void ConfigurationFeed::setAnnouncedRevision(Revision announced, std::string_view peer, Instant now)
 {
     m_context.announcedRevision = announced;
     if (announced <= ownRevision()) {
         m_laterHeardAt.reset();
+        m_context.configurationBehindSince.reset();
         m_context.isConfigurationReplaced = false;
     } else if (!m_laterHeardAt || announced > m_heardRevision) {
         m_laterHeardAt = now;
         m_heardRevision = announced;
+        if (!m_context.configurationBehindSince)
+            m_context.configurationBehindSince = now;
+        m_context.log.write(LogLevel::Info, "configuration-announced", {},
+                            {{"revision", toLog(announced)},
+                             {"own_revision", toLog(ownRevision())},
+                             {"peer", peer},
+                             {"configuration_age_ms", toMs(now - m_context.configurationAsOf)}});
     }
 }
 
@@ -127,16 +140,22 @@
     const Revision revision = configuration->revision();
     if (m_context.configuration && m_context.configuration->revision() >= configuration->revision())
         return revision;
+    const Duration behindFor = m_context.configurationBehindFor(now);
     m_context.log.write(LogLevel::Info, "configuration-in-force", {},
                         {{"revision", static_cast<std::int64_t>(configuration->revision())},
+                         {"previous_revision", toLog(ownRevision())},
                          {"routes", static_cast<std::int64_t>(configuration->routes().size())},
                          {"accounts", static_cast<std::int64_t>(configuration->accounts().size())},
-                         {"source", source}});
+                         {"source", source},
+                         {"behind_ms", toMs(behindFor)},
+                         {"configuration_age_ms", toMs(now - m_context.configurationAsOf)}});
+    m_context.metrics.recordConfiguration(source, behindFor);
     m_context.configuration = std::move(configuration);
     m_text = record.value;
     m_context.allowances.configure(m_context.configuration->accounts(), now);
     m_context.traffic.applyLimits(m_context.configuration->limits());
-    setAnnouncedRevision(m_context.announcedRevision, now);
+    if (m_context.announcedRevision <= revision)
+        setAnnouncedRevision(m_context.announcedRevision, {}, now);
     return revision;
 }
 
--- a/servers/site/configuration_feed.h
+++ b/servers/site/configuration_feed.h
@@ -50,7 +50,8 @@
     /// Whether the store has the configuration in force, or a later one.
     bool isInStore(LogOffset end) const;
     Revision ownRevision() const;
-    void setAnnouncedRevision(Revision announced, Instant now);
+    /// `peer` is the one that announces the revision; empty if none does.
+    void setAnnouncedRevision(Revision announced, std::string_view peer, Instant now);
     /// Handles that a read of the store has not found the configuration that peers announce.
     void handleMissing(StoreEra era, Instant now);
 
