Show that configurations come too late without the store

Cause: not mended here. What callers see: an instance that the store turns away handles requests by the old configuration for as long as that lasts, and one that starts meanwhile has none; if both readers lose the store just before a change, the others take over too late. Ruled out, in virtual time with 5, 9, 18, 45 and 118 instances: readers that freeze, are cut off, are not heard or are refused (at most 1.2 s of 2, 1.2 of 3, 1.65 of 4).

--- a/tests/servers/incarnation_codec.h
+++ b/tests/servers/incarnation_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "servers/ports/site_codec.h"
+#include "tests/servers/revision_codec.h"
 
 #include <string>
 
@@ -21,11 +22,11 @@
     std::string_view configurationTopic() const override { return "keyed.op"; }
     std::string_view configurationKey() const override { return "config"; }
     std::string_view endpointTopic() const override { return endpoints; }
-    std::shared_ptr<const SiteConfiguration> parseConfiguration(std::string_view /*text*/,
+    /// Reads a record as the revision of a configuration without routes.
+    std::shared_ptr<const SiteConfiguration> parseConfiguration(std::string_view text,
                                                                 std::string &fault) const override
     {
-        fault = "no configuration here";
-        return nullptr;
+        return RevisionCodec().parseConfiguration(text, fault);
     }
     std::optional<EndpointListing> parseEndpointListing(const std::string &instance,
                                                         std::string_view text, Instant /*now*/,
--- a/tests/servers/simulated_fleet.cpp
+++ b/tests/servers/simulated_fleet.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr unsigned zoneCount = 4;
 constexpr double maxStartDelayMs = 500;
 constexpr Duration checkInterval = std::chrono::milliseconds(100);
 /// Entries that lapsed during an outage may stay in use for this long after it, see platform.md.
@@ -52,8 +51,8 @@
     RandomSource random(options.seed);
     // Instances are named after their zones, so the two that read the store are in one zone.
     for (unsigned index = 0; index < options.instances; ++index) {
-        const std::string zone(1, static_cast<char>('a' + index % zoneCount));
-        const std::string name = zone + "-" + std::to_string(100 + index / zoneCount);
+        const std::string zone(1, static_cast<char>('a' + index % options.zones));
+        const std::string name = zone + "-" + std::to_string(100 + index / options.zones);
         m_slots[name] = {.zone = ZoneId(zone),
                          .clockOffset =
                                  fromMs(toMs(options.maxClockOffset) * (random.fraction() - 0.5)),
--- a/tests/servers/simulated_fleet.h
+++ b/tests/servers/simulated_fleet.h
@@ -18,7 +18,7 @@
 
 namespace monsoonsail {
 
-/// Entry instances in four availability zones with their store, network and endpoints, in virtual
+/// Entry instances in availability zones with their store, network and endpoints, in virtual
 /// time. Records each use of an endpoint that breaks the rule: an instance in touch uses no
 /// endpoint later than the drain time after the store has accepted the record of its end.
 ///
@@ -32,6 +32,7 @@
     struct Options
     {
         unsigned instances = 5;
+        unsigned zones = 4;
         Duration drainTime = std::chrono::seconds(4);
         std::uint64_t seed = 1;
         /// Bound of the difference between the clocks of two instances.
--- a/tests/servers/simulated_instance.cpp
+++ b/tests/servers/simulated_instance.cpp
@@ -35,9 +35,9 @@
     , m_context(limits(drainTime), identity.zone, identity.incarnation, m_traffic, m_log, m_metrics)
     , m_storeClient(store, scheduler, identity.clockOffset, stableHash(identity.incarnation),
                     storeState, m_gate)
-    , m_configurationAge(m_context)
+    , m_configurationFeed(m_context, m_codec)
     , m_configurationFollower(std::string(m_codec.configurationTopic()), configurationTiming,
-                              m_storeClient, m_configurationAge, makeScheduler(), m_log)
+                              m_storeClient, m_configurationFeed, makeScheduler(), m_log)
     , m_mesh(identity.name, identity.name)
     , m_exchange(m_identity.name, m_context, m_codec, m_storeClient, m_mesh, *this, makeScheduler())
     , m_discovery(
@@ -89,14 +89,12 @@
     m_configurationFollower.setActive(isReader());
     m_configurationFollower.setPassiveInterval(
             m_mesh.scaledInterval(EndpointExchange::passiveInterval));
-    if (isReader())
-        return;
-    for (const auto &[name, peer] : m_mesh.peers()) {
-        if (Mesh::isLive(peer, now()) && peer.digest.isReader) {
-            m_context.configurationAsOf = std::max(m_context.configurationAsOf,
-                                                   peer.receivedAt - peer.digest.configurationAge);
-        }
-    }
+    m_configurationFeed.updateFromPeers(m_mesh, isReader(), now());
+}
+
+Revision SimulatedInstance::revision() const
+{
+    return m_context.configuration ? m_context.configuration->revision() : 0;
 }
 
 void SimulatedInstance::sendDigest()
@@ -117,8 +115,10 @@
                   .sequence = ++m_digestsSent,
                   .sentAt = sentAt,
                   .interval = m_mesh.digestInterval(isReader()),
+                  .revision = revision(),
                   .configurationAge = sentAt - m_context.configurationAsOf};
     m_exchange.fillDigest(digest, sentAt);
+    digest.isStoreBehind = digest.isReader && m_context.isStoreBehind;
     const auto shared = std::make_shared<const Digest>(std::move(digest));
     for (const std::string &target : m_mesh.targets(sentAt))
         m_network.send({.from = m_identity.name, .to = target, .digest = shared});
@@ -136,8 +136,13 @@
 
 void SimulatedInstance::handleDigest(const Digest &digest)
 {
-    if (const Peer *peer = m_mesh.applyDigest(digest, now()))
-        m_exchange.handleDigest(*peer, now());
+    const Peer *peer = m_mesh.applyDigest(digest, now());
+    if (peer == nullptr)
+        return;
+    m_exchange.handleDigest(*peer, now());
+    m_configurationFeed.recordAnnouncement(*peer, now());
+    if (m_configurationFeed.needsRead(now()) && !m_configurationFollower.isActive())
+        m_configurationFollower.refresh();
 }
 
 void SimulatedInstance::handleBulletin(std::string_view bytes)
--- a/tests/servers/simulated_instance.h
+++ b/tests/servers/simulated_instance.h
@@ -4,7 +4,7 @@
 #include "servers/mesh/instance_discovery.h"
 #include "servers/mesh/mesh.h"
 #include "servers/mesh/process_pause_detector.h"
-#include "tests/servers/configuration_age.h"
+#include "servers/site/configuration_feed.h"
 #include "tests/servers/incarnation_codec.h"
 #include "tests/servers/mesh_datagram.h"
 #include "tests/servers/process_gate.h"
@@ -20,8 +20,8 @@
 
 namespace monsoonsail {
 
-/// One process of an entry instance, with the parts of the control plane that keep its endpoints up
-/// to date.
+/// One process of an entry instance, with the parts of the control plane that keep its endpoints
+/// and its configuration up to date.
 class SimulatedInstance : private BulletinPort
 {
 public:
@@ -48,6 +48,8 @@
     bool isFrozen() const { return m_gate->isFrozen(); }
     bool isReader() const { return m_exchange.isReader(); }
     bool isUsable(const EndpointId &endpoint) const;
+    /// Returns the revision of the configuration in force, 0 before the first.
+    Revision revision() const;
     bool knows(const EndpointId &id) const { return m_context.endpoints.find(id) != nullptr; }
     /// Reads the whole list, as after a freeze.
     void refresh() { m_exchange.refresh(); }
@@ -74,7 +76,7 @@
     IncarnationCodec m_codec;
     ServingContext m_context;
     SimulatedStoreClient m_storeClient;
-    ConfigurationAge m_configurationAge;
+    ConfigurationFeed m_configurationFeed;
     TopicFollower m_configurationFollower;
     Mesh m_mesh;
     EndpointExchange m_exchange;
