Get the configuration from a peer if the store doesn't give it

Cause: digests told it that its peers had a later configuration, but only the store gave the text. Class: one path for a fact that many instances hold. Ruled out: handing the text over in digests, which would cost bytes at each change; asking peers first, which would fill the links of a reader of 118 instances.

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -58,6 +58,9 @@
                               m_storeClient, m_configurationFeed, makeScheduler(), m_decisionLog)
     , m_configurationKeeper(m_context, m_configurationFeed, m_storeClient,
                             [this] { return m_loop.now(); })
+    , m_configurationClient(m_httpClient)
+    , m_configurationFetcher(settings.instance, m_context, m_configurationFeed,
+                             m_configurationClient, [this] { return m_loop.now(); })
     , m_mesh(settings.instance, settings.digestListen)
     , m_meshSocket(loop, settings.digestListen, *this)
     , m_endpointExchange(settings.instance, m_context, m_siteCodec, m_storeClient, m_mesh,
@@ -112,6 +115,10 @@
                           [this](const RequestHead &head, std::string_view /*body*/) {
                               return answerReadiness(head);
                           });
+    m_peerServer.emplace(m_loop, m_settings.digestListen,
+                         [this](const RequestHead &head, std::string_view /*body*/) {
+                             return answerPeer(head);
+                         });
     if (!m_settings.metricsListen.empty()) {
         m_metricsServer.emplace(m_loop, m_settings.metricsListen,
                                 [this](const RequestHead &head, std::string_view /*body*/) {
@@ -232,6 +239,13 @@
                                 m_endpointExchange, m_loop.now())};
 }
 
+LocalServer::Response ControlPlane::answerPeer(const RequestHead &head) const
+{
+    if (head.target != ConfigurationClient::path || !m_context.configuration)
+        return {.status = statusNotFound, .body = "not found\n"};
+    return {.body = m_configurationFeed.text()};
+}
+
 bool ControlPlane::isReady() const
 {
     return m_context.configuration != nullptr && !m_context.isConfigurationOutdated(m_loop.now())
@@ -333,6 +347,7 @@
             m_mesh.scaledInterval(EndpointExchange::passiveInterval));
     m_configurationFeed.updateFromPeers(m_mesh, isReader, m_loop.now());
     m_configurationKeeper.advance(isReader);
+    m_configurationFetcher.advance(m_mesh);
 }
 
 void ControlPlane::checkStop()
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -3,6 +3,7 @@
 #include "drivers/http/curl_client.h"
 #include "drivers/logging/json_decision_log.h"
 #include "drivers/loop/event_loop.h"
+#include "drivers/mesh/configuration_client.h"
 #include "drivers/mesh/mesh_socket.h"
 #include "drivers/metrics/prometheus_metrics.h"
 #include "drivers/settings/serving_settings.h"
@@ -21,6 +22,7 @@
 #include "servers/ports/traffic_listener.h"
 #include "servers/serving/serving_core.h"
 #include "servers/site/configuration_feed.h"
+#include "servers/site/configuration_fetcher.h"
 #include "servers/site/configuration_keeper.h"
 #include "servers/store/topic_follower.h"
 
@@ -62,6 +64,8 @@
     TopicFollower::Scheduler makeScheduler();
     LocalServer::Response answerReadiness(const RequestHead &head) const;
     LocalServer::Response answerMetrics(const RequestHead &head);
+    /// Answers other entry instances.
+    LocalServer::Response answerPeer(const RequestHead &head) const;
     bool isReady() const;
     void armDeadlineTimer();
     void expireDeadlines();
@@ -95,6 +99,8 @@
     ConfigurationFeed m_configurationFeed;
     TopicFollower m_configurationFollower;
     ConfigurationKeeper m_configurationKeeper;
+    ConfigurationClient m_configurationClient;
+    ConfigurationFetcher m_configurationFetcher;
     Mesh m_mesh;
     MeshSocket m_meshSocket;
     EndpointExchange m_endpointExchange;
@@ -106,6 +112,7 @@
     FleetManager m_fleetManager;
     AllowanceJournal m_allowanceJournal;
     std::optional<LocalServer> m_readyServer;
+    std::optional<LocalServer> m_peerServer;
     std::optional<LocalServer> m_metricsServer; ///< Empty if the settings have no address for it.
     TimerQueue::Handle m_deadlineTimer;
     TimerQueue::Handle m_tickTimer;
--- a/tests/servers/mesh_datagram.h
+++ b/tests/servers/mesh_datagram.h
@@ -7,13 +7,16 @@
 
 namespace monsoonsail {
 
-/// A datagram between two simulated instances: a digest, or an encoded bulletin.
+/// A message between two simulated instances: a digest, an encoded bulletin, or a call for the text
+/// of the configuration and its answer.
 struct MeshDatagram
 {
     std::string from;
     std::string to;
-    std::shared_ptr<const Digest> digest; ///< Null if it is a bulletin.
+    std::shared_ptr<const Digest> digest;
     std::shared_ptr<const std::string> bulletin;
+    bool asksForConfiguration = false;
+    std::shared_ptr<const std::string> configuration; ///< Empty if the sender has none.
 };
 
 } // namespace monsoonsail
--- a/tests/servers/simulated_instance.cpp
+++ b/tests/servers/simulated_instance.cpp
@@ -38,6 +38,8 @@
     , m_configurationFeed(m_context, m_codec)
     , m_configurationFollower(std::string(m_codec.configurationTopic()), configurationTiming,
                               m_storeClient, m_configurationFeed, makeScheduler(), m_log)
+    , m_configurationFetcher(identity.name, m_context, m_configurationFeed, *this,
+                             [this] { return now(); })
     , m_mesh(identity.name, identity.name)
     , m_exchange(m_identity.name, m_context, m_codec, m_storeClient, m_mesh, *this, makeScheduler())
     , m_discovery(
@@ -90,6 +92,7 @@
     m_configurationFollower.setPassiveInterval(
             m_mesh.scaledInterval(EndpointExchange::passiveInterval));
     m_configurationFeed.updateFromPeers(m_mesh, isReader(), now());
+    m_configurationFetcher.advance(m_mesh);
 }
 
 Revision SimulatedInstance::revision() const
@@ -127,10 +130,16 @@
 void SimulatedInstance::receive(const MeshDatagram &datagram)
 {
     m_gate->passDatagram([this, datagram] {
-        if (datagram.digest)
+        if (datagram.digest) {
             handleDigest(*datagram.digest);
-        else
+        } else if (datagram.bulletin) {
             handleBulletin(*datagram.bulletin);
+        } else if (datagram.asksForConfiguration) {
+            const auto text = std::make_shared<const std::string>(m_configurationFeed.text());
+            m_network.send({.from = m_identity.name, .to = datagram.from, .configuration = text});
+        } else {
+            finishFetch({}, *datagram.configuration);
+        }
     });
 }
 
@@ -158,6 +167,22 @@
         m_network.send({.from = m_identity.name, .to = target, .bulletin = bytes});
 }
 
+void SimulatedInstance::fetch(const std::string &address, Instant deadline, FetchDone done)
+{
+    m_fetchDone = std::move(done);
+    after(deadline - now(), [this, number = ++m_fetches] {
+        if (number == m_fetches)
+            finishFetch(std::make_error_code(std::errc::timed_out), {});
+    });
+    m_network.send({.from = m_identity.name, .to = address, .asksForConfiguration = true});
+}
+
+void SimulatedInstance::finishFetch(std::error_code error, std::string_view text)
+{
+    if (const FetchDone done = std::exchange(m_fetchDone, nullptr))
+        done(error, text);
+}
+
 bool SimulatedInstance::isUsable(const EndpointId &id) const
 {
     const Endpoint *endpoint = m_context.endpoints.find(id);
--- a/tests/servers/simulated_instance.h
+++ b/tests/servers/simulated_instance.h
@@ -5,6 +5,7 @@
 #include "servers/mesh/mesh.h"
 #include "servers/mesh/process_pause_detector.h"
 #include "servers/site/configuration_feed.h"
+#include "servers/site/configuration_fetcher.h"
 #include "tests/servers/incarnation_codec.h"
 #include "tests/servers/mesh_datagram.h"
 #include "tests/servers/process_gate.h"
@@ -22,7 +23,7 @@
 
 /// One process of an entry instance, with the parts of the control plane that keep its endpoints
 /// and its configuration up to date.
-class SimulatedInstance : private BulletinPort
+class SimulatedInstance : private BulletinPort, private ConfigurationPort
 {
 public:
     struct Identity
@@ -65,6 +66,8 @@
     void handleDigest(const Digest &digest);
     void handleBulletin(std::string_view bytes);
     void send(const Bulletin &bulletin, std::span<const std::string> targets) override;
+    void fetch(const std::string &address, Instant deadline, FetchDone done) override;
+    void finishFetch(std::error_code error, std::string_view text);
 
     const Identity m_identity;
     VirtualScheduler &m_scheduler;
@@ -78,6 +81,9 @@
     SimulatedStoreClient m_storeClient;
     ConfigurationFeed m_configurationFeed;
     TopicFollower m_configurationFollower;
+    ConfigurationFetcher m_configurationFetcher;
+    FetchDone m_fetchDone; ///< Of the fetch in progress.
+    unsigned m_fetches = 0;
     Mesh m_mesh;
     EndpointExchange m_exchange;
     InstanceDiscovery m_discovery;
