Derive the takeover of readers from the time for configurations too

What callers saw: if both readers lost the store just before a change, requests were handled by the old configuration for longer than allowed. Cause: the age at which others take over from a reader was the drain time of endpoints less 0.65 s, whatever the time within which a configuration must be in force; the settings did not have that time. Then came the delay by rank, a read, and up to a digest interval until the successor told what it had read. Class: a wait derived from another bound than the one that it serves. Change: configuration_ms in the settings; the age is the shorter of both; a reader that finds news sends its digest at once; long polls last 0.8 s, not 1 s, so that a reader's data stays well below that age while it reads. Ruled out: shorter polls alone, which cost calls and don't bound the drain time.

--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -73,6 +73,10 @@
     settings.limits.heartbeatInterval =
             fromSeconds(reader.number("heartbeat_ms", 1, maxMs, 1200) / 1000);
     settings.limits.drainTime = fromSeconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
+    settings.limits.configurationTime =
+            fromSeconds(reader.number("configuration_ms", 1, maxMs, 2000) / 1000);
+    settings.limits.maxConfigurationAge =
+            std::min(settings.limits.maxConfigurationAge, settings.limits.configurationTime);
     settings.limits.fencingNumbersAreChecked = reader.boolean("duty_numbers_checked", true);
     settings.limits.dutyLease = fromSeconds(reader.number("duty_lease_ms", 0, maxMs, 3000) / 1000);
     reader.reportUnknownKeys();
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -19,7 +19,7 @@
 /// A change of the configuration completes a waiting read at once. The wait is short because a read
 /// whose connection has gone silent only fails at its end, and a new version of the configuration
 /// has to be in force within 2 s.
-constexpr TopicFollower::Timing configurationTiming{.longPollTime = std::chrono::milliseconds(1000),
+constexpr TopicFollower::Timing configurationTiming{.longPollTime = std::chrono::milliseconds(800),
                                                     .minInterval = std::chrono::milliseconds(50),
                                                     .passiveInterval =
                                                             EndpointExchange::passiveInterval};
@@ -125,6 +125,7 @@
                                     return answerMetrics(head);
                                 });
     }
+    m_configurationFeed.setNewsHandler([this] { sendDigest(); });
     m_allowanceJournal.recover();
     m_configurationFollower.start();
     m_endpointExchange.start();
@@ -157,7 +158,7 @@
 {
     m_settings = settings;
     m_context.limits = settings.limits;
-    m_endpointExchange.setDrainTime(settings.limits.drainTime);
+    m_endpointExchange.applyLimits();
     m_context.repeatBudget.setLimit(settings.limits.repeats);
     m_context.allowances.setRules(settings.limits.allowances);
     if (m_context.configuration)
--- a/servers/endpoints/endpoint_exchange.cpp
+++ b/servers/endpoints/endpoint_exchange.cpp
@@ -19,9 +19,15 @@
 /// Each endpoint writes about once a second, so without a minimum interval every write would cost a
 /// call. The interval is short because some endpoints end 1.5 s after they announce it, and their
 /// runs have to be moved by then.
-constexpr TopicFollower::Timing timing{.longPollTime = std::chrono::milliseconds(1000),
+constexpr TopicFollower::Timing timing{.longPollTime = std::chrono::milliseconds(800),
                                        .minInterval = std::chrono::milliseconds(200),
                                        .passiveInterval = EndpointExchange::passiveInterval};
+
+ReaderRole::Bounds readerBounds(const ServingLimits &limits)
+{
+    return {.drainTime = limits.drainTime, .configurationTime = limits.configurationTime};
+}
+
 } // namespace
 
 EndpointExchange::EndpointExchange(const std::string &instance, ServingContext &context,
@@ -34,7 +40,7 @@
     , m_scheduler(std::move(scheduler))
     , m_feed(context, codec)
     , m_follower(std::string(codec.endpointTopic()), timing, log, m_feed, m_scheduler, context.log)
-    , m_readerRole(instance, context.zone, context.limits.drainTime)
+    , m_readerRole(instance, context.zone, readerBounds(context.limits))
     , m_comparison(context.endpoints)
 { }
 
@@ -44,6 +50,11 @@
     m_follower.start();
 }
 
+void EndpointExchange::applyLimits()
+{
+    m_readerRole.setBounds(readerBounds(m_context.limits));
+}
+
 void EndpointExchange::advance(Instant now)
 {
     updateReaderRole(now);
--- a/servers/endpoints/endpoint_exchange.h
+++ b/servers/endpoints/endpoint_exchange.h
@@ -29,8 +29,8 @@
                      TopicFollower::Scheduler scheduler);
 
     void start();
-    /// Sets how long endpoints keep serving after they have announced in the store that they leave.
-    void setDrainTime(Duration drainTime) { m_readerRole.setDrainTime(drainTime); }
+    /// Must be called when the limits of the context have changed.
+    void applyLimits();
     /// Decides whether this instance is a reader and sends the updates that are due. Call
     /// periodically.
     void advance(Instant now);
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -15,6 +15,8 @@
     FleetPolicy fleet;
     /// A configuration that has not been confirmed for longer may be outdated.
     Duration maxConfigurationAge = std::chrono::milliseconds(2000);
+    /// Time within which a published configuration must be in force on all instances.
+    Duration configurationTime = std::chrono::milliseconds(2000);
     /// Interval at which endpoints renew their entries.
     Duration heartbeatInterval = std::chrono::milliseconds(1200);
     Duration drainTime = std::chrono::seconds(2); ///< Leaving endpoints keep serving for this long.
--- a/servers/site/configuration_feed.cpp
+++ b/servers/site/configuration_feed.cpp
@@ -154,8 +154,11 @@
     m_text = record.value;
     m_context.allowances.configure(m_context.configuration->accounts(), now);
     m_context.traffic.applyLimits(m_context.configuration->limits());
+    const bool isNews = m_context.announcedRevision < revision;
     if (m_context.announcedRevision <= revision)
         setAnnouncedRevision(m_context.announcedRevision, {}, now);
+    if (isNews && m_newsHandler)
+        m_newsHandler();
     return revision;
 }
 
--- a/servers/site/configuration_feed.h
+++ b/servers/site/configuration_feed.h
@@ -6,9 +6,11 @@
 #include "servers/serving/serving_context.h"
 #include "servers/store/topic_follower.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace monsoonsail {
@@ -22,6 +24,9 @@
         , m_codec(codec)
     { }
 
+    /// Sets the function to call when a configuration has taken effect that no live peer announces.
+    void setNewsHandler(std::function<void()> handler) { m_newsHandler = std::move(handler); }
+
     void onValueChanged(const LogRecord &record, Instant now) override;
     /// A removed configuration stays in force, so there is no key to look for.
     std::vector<std::string> knownKeys() const override { return {}; }
@@ -57,6 +62,7 @@
 
     ServingContext &m_context;
     const SiteCodec &m_codec;
+    std::function<void()> m_newsHandler;
     bool m_hasRead = false;
     Revision m_storedRevision = 0;  ///< Of the last configuration read from the store.
     LogOffset m_storedPosition = 0; ///< Position of its record.
--- a/servers/store/reader_role.cpp
+++ b/servers/store/reader_role.cpp
@@ -11,6 +11,11 @@
 /// The data of a reader must be younger than the drain time of endpoints by this margin, in which a
 /// successor reads the store and informs the others.
 constexpr Duration takeoverTime = std::chrono::milliseconds(650);
+/// The same for the time until a configuration must be in force. It covers the delays by rank, and
+/// a digest of the successor that gets lost.
+constexpr Duration configurationTakeoverTime = std::chrono::milliseconds(900);
+/// Longer than a reader's long poll, during which its data gets older although it reads.
+constexpr Duration minMaxAge = std::chrono::milliseconds(1000);
 /// The first instance of an availability zone stands in for readers whose data is older. So the
 /// readers know, before entries lapse, whether the store is away or only refuses them.
 constexpr Duration maxAgeForFirstOfZone = std::chrono::milliseconds(1700);
@@ -23,15 +28,20 @@
 
 } // namespace
 
+Duration ReaderRole::maxAge(bool isFirstOfZone) const
+{
+    const Duration age = std::min(m_bounds.drainTime - takeoverTime,
+                                  m_bounds.configurationTime - configurationTakeoverTime);
+    return std::max(minMaxAge, isFirstOfZone ? std::min(age, maxAgeForFirstOfZone) : age);
+}
+
 void ReaderRole::advance(const Mesh &mesh, Instant now)
 {
     const bool isFirstOfZone = std::ranges::none_of(mesh.peers(), [&](const auto &entry) {
         return entry.second.digest.zone == m_zone && entry.first < m_instance
                 && Mesh::isLive(entry.second, now);
     });
-    const Duration takeoverAge = m_drainTime - takeoverTime;
-    const Duration maxAge =
-            isFirstOfZone ? std::min(takeoverAge, maxAgeForFirstOfZone) : takeoverAge;
+    const Duration recentAge = maxAge(isFirstOfZone);
     unsigned precedingReaders = 0;
     int rank = 0;
     for (const auto &[name, peer] : mesh.peers()) {
@@ -45,7 +55,7 @@
         // only by the time of the transmission.
         const Duration since = now - peer.receivedAt;
         const bool isFresh = std::max(digest.endpointsAge, digest.configurationAge) + since
-                < maxAge + digest.interval;
+                < recentAge + digest.interval;
         if (isFresh && name < m_instance)
             ++precedingReaders;
     }
--- a/tests/servers/configuration_spread_test.cpp
+++ b/tests/servers/configuration_spread_test.cpp
@@ -110,6 +110,7 @@
                 SimulatedFleet fleet({.instances = size.instances,
                                       .zones = size.zones,
                                       .drainTime = size.drainTime,
+                                      .configurationTime = size.configurationTime,
                                       .seed = static_cast<std::uint64_t>(phase) + 1});
                 publish(fleet, 1);
                 fleet.advance(settleTime + cycle * phase / size.phases);
--- a/tests/servers/mesh_test.cpp
+++ b/tests/servers/mesh_test.cpp
@@ -71,10 +71,16 @@
         m_mesh.applyDigest(read, m_now);
     }
 
+    /// Bounds of which that by the drain time is the shorter one.
+    static ReaderRole::Bounds bounds(Duration drainTime)
+    {
+        return {.drainTime = drainTime, .configurationTime = drainTime + seconds(1)};
+    }
+
     /// Whether an instance that has just started reads the store.
     bool isReader(const std::string &instance) const
     {
-        ReaderRole role(instance, ZoneId(), seconds(2));
+        ReaderRole role(instance, ZoneId(), bounds(seconds(2)));
         role.advance(m_mesh, m_now);
         return role.isReader();
     }
@@ -259,8 +265,8 @@
     {
         for (const char *name : {"a", "b", "c"})
             receiveFromReader(name, milliseconds(100));
-        ReaderRole first("p", ZoneId("z"), seconds(4));
-        ReaderRole other("q", ZoneId(), seconds(4));
+        ReaderRole first("p", ZoneId("z"), bounds(seconds(4)));
+        ReaderRole other("q", ZoneId(), bounds(seconds(4)));
         const auto receiveAndAdvance = [&](Duration age) {
             for (const char *name : {"a", "b", "c"})
                 receiveFromReader(name, age);
@@ -288,7 +294,7 @@
         };
         std::vector<ReaderRole> roles;
         for (std::size_t index = 2; index < names.size(); ++index)
-            roles.emplace_back(names.at(index), ZoneId(), seconds(2));
+            roles.emplace_back(names.at(index), ZoneId(), bounds(seconds(2)));
         const auto countReaders = [&] {
             for (ReaderRole &role : roles)
                 role.advance(m_mesh, m_now);
--- a/tests/servers/simulated_fleet.cpp
+++ b/tests/servers/simulated_fleet.cpp
@@ -112,8 +112,10 @@
             SimulatedInstance::Identity{.name = name,
                                         .incarnation = incarnation,
                                         .zone = slot.zone,
-                                        .clockOffset = slot.clockOffset},
-            m_options.drainTime, m_scheduler, m_store, slot.storeState, m_network);
+                                        .clockOffset = slot.clockOffset,
+                                        .drainTime = m_options.drainTime,
+                                        .configurationTime = m_options.configurationTime},
+            m_scheduler, m_store, slot.storeState, m_network);
     markBackInTouch(slot);
     recordFault("start", name);
     slot.process->start();
--- a/tests/servers/simulated_fleet.h
+++ b/tests/servers/simulated_fleet.h
@@ -34,6 +34,8 @@
         unsigned instances = 5;
         unsigned zones = 4;
         Duration drainTime = std::chrono::seconds(4);
+        /// Time within which configurations must be in force.
+        Duration configurationTime = std::chrono::seconds(4);
         std::uint64_t seed = 1;
         /// Bound of the difference between the clocks of two instances.
         Duration maxClockOffset = std::chrono::seconds(30);
--- a/tests/servers/simulated_instance.cpp
+++ b/tests/servers/simulated_instance.cpp
@@ -12,27 +12,28 @@
 
 /// As in ControlPlane.
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
-constexpr TopicFollower::Timing configurationTiming{.longPollTime = std::chrono::milliseconds(1000),
+constexpr TopicFollower::Timing configurationTiming{.longPollTime = std::chrono::milliseconds(800),
                                                     .minInterval = std::chrono::milliseconds(50),
                                                     .passiveInterval =
                                                             EndpointExchange::passiveInterval};
 
-ServingLimits limits(Duration drainTime)
+ServingLimits limits(const SimulatedInstance::Identity &identity)
 {
     return {.repeats = {.ratio = 0.2, .slack = 50, .window = std::chrono::seconds(10)},
-            .drainTime = drainTime};
+            .configurationTime = identity.configurationTime,
+            .drainTime = identity.drainTime};
 }
 
 } // namespace
 
-SimulatedInstance::SimulatedInstance(const Identity &identity, Duration drainTime,
-                                     VirtualScheduler &scheduler, SimulatedStore &store,
-                                     const StoreState &storeState, SimulatedNetwork &network)
+SimulatedInstance::SimulatedInstance(const Identity &identity, VirtualScheduler &scheduler,
+                                     SimulatedStore &store, const StoreState &storeState,
+                                     SimulatedNetwork &network)
     : m_identity(identity)
     , m_scheduler(scheduler)
     , m_network(network)
     , m_gate(std::make_shared<ProcessGate>())
-    , m_context(limits(drainTime), identity.zone, identity.incarnation, m_traffic, m_log, m_metrics)
+    , m_context(limits(identity), identity.zone, identity.incarnation, m_traffic, m_log, m_metrics)
     , m_storeClient(store, scheduler, identity.clockOffset, stableHash(identity.incarnation),
                     storeState, m_gate)
     , m_configurationFeed(m_context, m_codec)
@@ -63,6 +64,7 @@
 
 void SimulatedInstance::start()
 {
+    m_configurationFeed.setNewsHandler([this] { broadcastDigest(); });
     m_configurationFollower.start();
     m_exchange.start();
     tick();
--- a/tests/servers/simulated_instance.h
+++ b/tests/servers/simulated_instance.h
@@ -32,12 +32,13 @@
         std::string incarnation;
         ZoneId zone;
         Duration clockOffset{}; ///< Its clock minus that of the scheduler.
+        Duration drainTime{};   ///< As in ServingLimits.
+        Duration configurationTime{};
     };
 
     /// The references must outlive the object, and the object the scheduler's tasks.
-    SimulatedInstance(const Identity &identity, Duration drainTime, VirtualScheduler &scheduler,
-                      SimulatedStore &store, const StoreState &storeState,
-                      SimulatedNetwork &network);
+    SimulatedInstance(const Identity &identity, VirtualScheduler &scheduler, SimulatedStore &store,
+                      const StoreState &storeState, SimulatedNetwork &network);
 
     void start();
     void freeze() { m_gate->freeze(); }
