Bound the memory that all responses in progress hold together

What callers saw: a daemon ran out of memory, and the requests of all its callers ended with it, while endpoints sent bodies without end. Cause: a response had a bound (16 MB) and their sum had none; neither had what callers leave unread (16 MB each). Class: a limit for each without one for all. Answers to calls of our own are bounded by 64 KB, not 1 MB. Log: attempt-ended with the reason; metric monsoonsail_too_long_answers_total. A huge Content-Length stayed below the bound before, too. endlessBodiesTogetherStayWithinTheMemory shows the sum, and a sound answer beside twelve floods. Ruled out: a smaller bound for each, which cuts sound answers and still grows with the callers. Open: events held back beside a replaced attempt, 0.25 s of them, are not counted.

--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -56,6 +56,11 @@
                               .Name("monsoonsail_attempts_total")
                               .Help("Attempts on endpoints, by service and result")
                               .Register(m_registry))
+    , m_tooLongAnswerFamily(prometheus::BuildCounter()
+                                    .Name("monsoonsail_too_long_answers_total")
+                                    .Help("Answers of endpoints that were given up for their "
+                                          "length, by service")
+                                    .Register(m_registry))
     , m_platformCallFamily(prometheus::BuildCounter()
                                    .Name("monsoonsail_platform_calls_total")
                                    .Help("Calls to the platform, by kind and topic or duty")
@@ -134,6 +139,16 @@
             .Increment();
 }
 
+void PrometheusMetrics::recordTooLongAnswer(std::string_view service)
+{
+    findOrAddSeries(
+            m_tooLongAnswers, service, {},
+            [&]() -> auto & {
+                return m_tooLongAnswerFamily.Add({{"service", std::string(service)}});
+            })
+            .Increment();
+}
+
 void PrometheusMetrics::recordPlatformCall(std::string_view call, std::string_view subject)
 {
     findOrAddSeries(
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -26,6 +26,7 @@
     void recordLongestPause(std::string_view route, Duration longest) override;
     void recordRefusal(std::string_view account, ErrorKind kind) override;
     void recordAttempt(std::string_view service, AttemptResult result) override;
+    void recordTooLongAnswer(std::string_view service) override;
     void recordPlatformCall(std::string_view call, std::string_view subject) override;
     void recordEndpointUpdate(Duration age) override;
     void recordConfiguration(std::string_view source, Duration behindFor) override;
@@ -50,6 +51,7 @@
     Histograms &m_longestPauseFamily;
     Counters &m_refusalFamily;
     Counters &m_attemptFamily;
+    Counters &m_tooLongAnswerFamily;
     Counters &m_platformCallFamily;
     Histograms &m_configurationDelayFamily;
     prometheus::Histogram &m_endpointUpdateAge;
@@ -59,6 +61,7 @@
     SeriesMap<prometheus::Histogram> m_longestPauses;
     SeriesMap<prometheus::Counter> m_refusals;
     SeriesMap<prometheus::Counter> m_attempts;
+    SeriesMap<prometheus::Counter> m_tooLongAnswers;
     SeriesMap<prometheus::Counter> m_platformCalls;
     SeriesMap<prometheus::Histogram> m_configurationDelays;
     std::map<std::string, prometheus::Gauge *> m_gauges;
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -12,6 +12,8 @@
 constexpr double maxSeconds = 3600;
 constexpr double maxMs = 3'600'000;
 constexpr double maxRequests = 1e9;
+constexpr double maxMemoryMb = 1e6;
+constexpr double bytesPerMb = 1024.0 * 1024;
 
 /// Returns the digest addresses of the entry instances in `seeds`, a list of "IP:port" separated by
 /// commas. The port is that of `digestListen`, since all instances use the same port for digests.
@@ -49,6 +51,8 @@
     settings.dutyAddress = reader.string("duties");
     settings.peerAddresses = peerAddresses(reader.string("seeds", ""), settings.digestListen);
     settings.stopGrace = fromSeconds(reader.number("stop_grace_s", 0, maxSeconds));
+    settings.memoryBytes =
+            static_cast<std::size_t>(reader.number("memory_mb", 1, maxMemoryMb, 256) * bytesPerMb);
     reader.readOptionalTable("repeats", [&settings](TableReader &table) {
         settings.limits.repeats = {.ratio = table.number("ratio", 0, 1),
                                    .slack = table.number("slack", 0, maxRequests),
--- a/drivers/settings/serving_settings.h
+++ b/drivers/settings/serving_settings.h
@@ -4,6 +4,7 @@
 #include "servers/configuration/configuration_fault.h"
 #include "servers/serving/serving_limits.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -25,7 +26,8 @@
     std::string dutyAddress;   ///< "IP:port" of the platform's API for duties.
     std::vector<std::string> peerAddresses; ///< Digest addresses of some entry instances.
     ServingLimits limits;
-    Duration stopGrace{}; ///< Time between SIGTERM and SIGKILL.
+    Duration stopGrace{};        ///< Time between SIGTERM and SIGKILL.
+    std::size_t memoryBytes = 0; ///< Memory that the process may use.
 };
 
 /// Reads settings from TOML text. `file` is the file name in reported faults.
--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -34,11 +34,12 @@
 } // namespace
 
 Attempt::Attempt(AttemptStart start, std::string callerId, const WireCodec &codec,
-                 AttemptOwner &owner, EventLoop &loop)
+                 AttemptOwner &owner, ResponseMemory &memory, EventLoop &loop)
     : m_start(std::move(start))
     , m_callerId(std::move(callerId))
     , m_codec(codec)
     , m_owner(owner)
+    , m_memory(memory)
     , m_loop(loop)
 { }
 
@@ -79,6 +80,15 @@
             m_connection->reset();
         m_connection.reset();
     }
+    // The attempt may be destroyed later.
+    std::string().swap(m_body);
+    m_eventSplitter = {};
+    updateHeldBytes(0);
+}
+
+void Attempt::endForMemory()
+{
+    reportTooLong("the responses in progress hold too much memory");
 }
 
 void Attempt::onConnected()
@@ -125,9 +135,14 @@
             return;
         }
         if (!isWithinLimits(input)) {
-            reportEnd(AttemptResult::Interrupted, "the response is too long");
+            reportTooLong("the response is too long");
             return;
         }
+        updateHeldBytes(input.size());
+        if (m_memory.isExceeded())
+            m_owner.onMemoryExceeded();
+        if (m_ended)
+            return;
         if (m_mode == Mode::AwaitingHead && m_reader->isHeadComplete())
             processHead();
         if (m_mode == Mode::Relayed && !relayEvents())
@@ -146,6 +161,19 @@
             && m_skippedBytes <= maxSkippedBytes && m_skippedResponses <= maxSkippedResponses;
 }
 
+void Attempt::updateHeldBytes(std::size_t unparsedBytes)
+{
+    const std::size_t held = m_body.size() + m_eventSplitter.remainderBytes() + unparsedBytes;
+    m_memory.update(m_heldBytes, held);
+    m_heldBytes = held;
+}
+
+void Attempt::reportTooLong(std::string_view reason)
+{
+    m_wasTooLong = true;
+    reportEnd(AttemptResult::Interrupted, reason);
+}
+
 void Attempt::processHead()
 {
     const ResponseHead &head = m_reader->head();
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -5,6 +5,7 @@
 #include "drivers/loop/event_loop.h"
 #include "drivers/traffic/endpoint_connection.h"
 #include "drivers/traffic/event_splitter.h"
+#include "drivers/traffic/response_memory.h"
 #include "drivers/traffic/wire_codec.h"
 #include "servers/serving/attempt_end.h"
 #include "servers/serving/attempt_start.h"
@@ -34,6 +35,9 @@
     virtual void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) = 0;
     /// Called when a response announces that the endpoint is shutting down.
     virtual void onEndpointLeaving(const EndpointId &endpoint) = 0;
+    /// Called when the responses of all attempts together hold more memory than they may. The owner
+    /// ends some of them with Attempt::endForMemory().
+    virtual void onMemoryExceeded() = 0;
     /// Called once when the attempt has ended. The owner must not destroy the attempt during the
     /// call.
     virtual void onAttemptEnded(Attempt &attempt, AttemptResult result,
@@ -44,9 +48,9 @@
 class Attempt : private EndpointConnectionUser
 {
 public:
-    /// `codec` and `owner` must outlive the attempt.
+    /// The references must outlive the attempt. `memory` counts what all attempts hold.
     Attempt(AttemptStart start, std::string callerId, const WireCodec &codec, AttemptOwner &owner,
-            EventLoop &loop);
+            ResponseMemory &memory, EventLoop &loop);
     ~Attempt() override;
     Attempt(const Attempt &) = delete;
     Attempt &operator=(const Attempt &) = delete;
@@ -54,8 +58,10 @@
     /// Sends the request on `connection`, once it is connected.
     void send(std::shared_ptr<EndpointConnection> connection, std::string request,
               bool connectionReused, bool isHeadRequest);
-    /// Closes the connection without calling the owner.
+    /// Closes the connection and releases the response without calling the owner.
     void cancel();
+    /// Ends the attempt since its response holds too much memory.
+    void endForMemory();
 
     const AttemptStart &start() const { return m_start; }
     /// Returns the head of the response.
@@ -64,6 +70,10 @@
     const std::string &responseBody() const { return m_body; }
     /// Whether it has been cancelled, or its end reported to the owner.
     bool hasEnded() const { return m_ended; }
+    /// Whether the response was given up for its length.
+    bool wasTooLong() const { return m_wasTooLong; }
+    /// Returns the bytes of the response that are held in memory.
+    std::size_t heldBytes() const { return m_heldBytes; }
     Instant sentAt() const { return m_sentAt; }
     /// Returns the instant before which the endpoint, which declined, accepts no further request
     /// from this instance.
@@ -89,6 +99,8 @@
 
     void startReader();
     bool isWithinLimits(const std::string &input);
+    void updateHeldBytes(std::size_t unparsedBytes);
+    void reportTooLong(std::string_view reason);
     void processHead();
     void processBody(std::string_view bytes);
     bool relayEvents();
@@ -101,6 +113,7 @@
     const std::string m_callerId;
     const WireCodec &m_codec;
     AttemptOwner &m_owner;
+    ResponseMemory &m_memory;
     EventLoop &m_loop;
     std::shared_ptr<EndpointConnection> m_connection;
     std::optional<HttpResponseReader> m_reader;
@@ -112,12 +125,14 @@
     Instant m_sentAt;
     Instant m_headReceivedAt;         ///< When the head of the response was complete.
     std::uint64_t m_skippedBytes = 0; ///< Body bytes of skipped responses.
+    std::size_t m_heldBytes = 0;      ///< As counted in m_memory.
     unsigned m_skippedResponses = 0;
     bool m_connectionReused = false;
     bool m_isHeadRequest = false;
     bool m_hasEvents = false; ///< Whether the stream has had an event.
     bool m_ended = false;
     bool m_wasDisconnected = false;
+    bool m_wasTooLong = false;
     TimerQueue::Handle m_connectTimer;
 };
 
--- a/drivers/traffic/caller_connection.h
+++ b/drivers/traffic/caller_connection.h
@@ -8,6 +8,7 @@
 #include "drivers/net/socket.h"
 #include "servers/site/connection_limits.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,6 +64,8 @@
     /// Rejects the request or closes the connection if a deadline has passed.
     void checkTimeouts(Instant now);
     bool isOpen() const { return m_socket.isOpen(); }
+    /// Returns the number of response bytes that the socket has not accepted.
+    std::size_t unsentBytes() const { return m_output.size(); }
     /// Whether no response is in progress and no bytes are buffered in either direction.
     bool isIdle() const { return !m_isResponding && m_input.empty() && m_output.empty(); }
 
--- a/drivers/traffic/endpoint_call.cpp
+++ b/drivers/traffic/endpoint_call.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr std::uint32_t maxHeaderBytes = 16U * 1024;
-constexpr std::uint64_t maxBodyBytes = 1024ULL * 1024;
+constexpr std::uint64_t maxBodyBytes = 64ULL * 1024;
 /// For responses to other requests that precede the expected one.
 constexpr unsigned maxSkippedResponses = 16;
 } // namespace
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -19,10 +19,12 @@
 
 } // namespace
 
-TrafficRelay::TrafficRelay(EventLoop &loop, const WireCodec &codec, TrafficListener &listener)
+TrafficRelay::TrafficRelay(EventLoop &loop, const WireCodec &codec, TrafficListener &listener,
+                           std::size_t maxResponseBytes)
     : m_loop(loop)
     , m_codec(codec)
     , m_listener(listener)
+    , m_responseMemory(maxResponseBytes)
     , m_endpointPool(loop)
 {
     m_sweepTimer = m_loop.timers().schedule(m_loop.now() + sweepInterval, [this] { sweep(); });
@@ -88,8 +90,9 @@
     Exchange *exchange = findExchange(start.request);
     if (exchange == nullptr)
         return;
-    auto newAttempt = std::make_unique<Attempt>(start, exchange->callerId, m_codec,
-                                                static_cast<AttemptOwner &>(*this), m_loop);
+    auto newAttempt =
+            std::make_unique<Attempt>(start, exchange->callerId, m_codec,
+                                      static_cast<AttemptOwner &>(*this), m_responseMemory, m_loop);
     Attempt &attempt = *newAttempt;
     exchange->attempts[start.attempt] = std::move(newAttempt);
     bool connectionReused = false;
@@ -170,6 +173,7 @@
                    .reason = std::string(reason),
                    .closedUntil = attempt.endpointClosedUntil(),
                    .wasDisconnected = attempt.wasDisconnected(),
+                   .wasTooLong = attempt.wasTooLong(),
                    .sentAt = attempt.sentAt(),
                    .connectionReused = attempt.connectionReused()};
     const bool hasResponse = result == AttemptResult::Answered || result == AttemptResult::Streamed
@@ -333,6 +337,7 @@
                                                                      m_connections.end());
     for (const auto &connection : connections)
         connection->checkTimeouts(m_loop.now());
+    closeSlowCallers();
 }
 
 } // namespace monsoonsail
--- a/drivers/traffic/traffic_relay.h
+++ b/drivers/traffic/traffic_relay.h
@@ -7,10 +7,12 @@
 #include "drivers/traffic/endpoint_call.h"
 #include "drivers/traffic/endpoint_pool.h"
 #include "drivers/traffic/exchange.h"
+#include "drivers/traffic/response_memory.h"
 #include "drivers/traffic/wire_codec.h"
 #include "servers/ports/traffic_listener.h"
 #include "servers/ports/traffic_port.h"
 
+#include <cstddef>
 #include <memory>
 #include <set>
 #include <string>
@@ -27,8 +29,10 @@
 class TrafficRelay : public TrafficPort, private CallerConnectionOwner, private AttemptOwner
 {
 public:
-    /// All references must outlive the relay.
-    TrafficRelay(EventLoop &loop, const WireCodec &codec, TrafficListener &listener);
+    /// All references must outlive the relay. `maxResponseBytes` bounds the memory for responses
+    /// of endpoints that are in progress, all together, and for those that callers have not read.
+    TrafficRelay(EventLoop &loop, const WireCodec &codec, TrafficListener &listener,
+                 std::size_t maxResponseBytes);
     ~TrafficRelay() override;
     TrafficRelay(const TrafficRelay &) = delete;
     TrafficRelay &operator=(const TrafficRelay &) = delete;
@@ -51,6 +55,8 @@
 
     /// Returns the port on which callers are accepted.
     unsigned port() const { return m_callerListener->port(); }
+    /// Returns the count of the memory for responses. May be read on any thread.
+    const ResponseMemory &responseMemory() const { return m_responseMemory; }
 
 private:
     void onRequest(CallerConnection &connection, RequestHead head, std::string body,
@@ -65,6 +71,7 @@
     bool hasRelayedEvents(RequestNumber request) const override;
     void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) override;
     void onEndpointLeaving(const EndpointId &endpoint) override;
+    void onMemoryExceeded() override;
     void onAttemptEnded(Attempt &attempt, AttemptResult result, std::string_view reason) override;
 
     Exchange *findExchange(RequestNumber request) const;
@@ -83,11 +90,14 @@
     void refuseNewRequest(RequestNumber request);
     void endOpenRequests();
     void reportCallersClosed();
+    /// Closes callers that leave the most bytes unread, if all together leave too many.
+    void closeSlowCallers();
     void sweep();
 
     EventLoop &m_loop;
     const WireCodec &m_codec;
     TrafficListener &m_listener;
+    ResponseMemory m_responseMemory;
     ConnectionLimits m_limits;
     bool m_stopping = false;
     bool m_isClosing = false;        ///< Set by closeCallers(), after which nothing is passed on.
--- a/main/monsoonsaild/serving_daemon.cpp
+++ b/main/monsoonsaild/serving_daemon.cpp
@@ -5,6 +5,12 @@
 
 namespace monsoonsail {
 
+namespace {
+/// Part of the process's memory that responses in progress may hold, and once more those that
+/// callers have not read. Buffers that grow need up to three times the bytes that they hold.
+constexpr std::size_t responseMemoryDivisor = 8;
+} // namespace
+
 ServingDaemon::ServingDaemon(const ServingSettings &settings, const std::string &incarnation,
                              LogWriter &logWriter,
                              std::function<std::optional<ServingSettings>()> reload)
@@ -14,7 +20,8 @@
     , m_trafficMailbox(m_trafficLoop, m_trafficRelay)
     , m_controlPlane(settings, m_controlLoop, m_trafficMailbox, logWriter, incarnation)
     , m_controlMailbox(m_controlLoop, m_controlPlane)
-    , m_trafficRelay(m_trafficLoop, m_httpCodec, m_controlMailbox)
+    , m_trafficRelay(m_trafficLoop, m_httpCodec, m_controlMailbox,
+                     settings.memoryBytes / responseMemoryDivisor)
     , m_signalWatcher(m_controlLoop, {SIGTERM, SIGINT, SIGHUP},
                       [this](int signal) { handleSignal(signal); })
 {
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -25,6 +25,8 @@
     virtual void recordRefusal(std::string_view account, ErrorKind kind) = 0;
     /// Records the end of an attempt on an endpoint of the service.
     virtual void recordAttempt(std::string_view service, AttemptResult result) = 0;
+    /// Records an answer of the service that was given up for its length.
+    virtual void recordTooLongAnswer(std::string_view service) = 0;
     /// Records the start of a call to the platform. `subject` is its topic or duty.
     virtual void recordPlatformCall(std::string_view call, std::string_view subject) = 0;
     /// Records a change of an endpoint that this instance learned of by a bulletin. `age` is the
--- a/servers/serving/attempt_end.h
+++ b/servers/serving/attempt_end.h
@@ -36,7 +36,8 @@
     /// Whether the endpoint closed or reset the connection, as opposed to a timeout or bytes that
     /// are no answer.
     bool wasDisconnected = false;
-    Instant sentAt; ///< When the request was sent; unset if it was not.
+    bool wasTooLong = false; ///< Whether the answer was given up for its length.
+    Instant sentAt;          ///< When the request was sent; unset if it was not.
     bool connectionReused = false;
 };
 
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -180,6 +180,8 @@
                          {"had_events", attempt.hasEvents},
                          {"shared_parts", parts}});
     m_context.metrics.recordAttempt(record.service->name.view(), end.result);
+    if (end.wasTooLong)
+        m_context.metrics.recordTooLongAnswer(record.service->name.view());
     const bool hasAnswered = end.result == AttemptResult::Answered
             || end.result == AttemptResult::Streamed || end.result == AttemptResult::Declined;
     if (hasAnswered) {
--- a/tests/drivers/endless_response_test.cpp
+++ b/tests/drivers/endless_response_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace monsoonsail;
 using std::chrono::milliseconds;
@@ -50,6 +51,7 @@
     CPPUNIT_TEST(endlessInterimResponses);
     CPPUNIT_TEST(endlessBodyOfAnotherResponse);
     CPPUNIT_TEST(endlessMoveResponse);
+    CPPUNIT_TEST(endlessBodiesTogetherStayWithinTheMemory);
     CPPUNIT_TEST(longValidStreamIsForwarded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -122,6 +124,42 @@
         CPPUNIT_ASSERT(m_listener.nextMoveEnd().result == RunMoveResult::Failed);
     }
 
+    // Each stayed below the limit of a single response.
+    void endlessBodiesTogetherStayWithinTheMemory()
+    {
+        constexpr std::size_t floods = 12;
+        constexpr std::size_t sentByEach = 15ULL * 1024 * 1024;
+        const RawSocket sound = connectCaller();
+        startAttempt(m_listener.nextArrival().number);
+        const RawSocket soundEndpoint = m_endpoint.accept();
+        soundEndpoint.receiveUntil("\r\n\r\n");
+        soundEndpoint.send(head + "Content-Length: 5\r\n\r\nso");
+        std::vector<RawSocket> callers;
+        std::vector<RawSocket> endpoints;
+        for (std::size_t index = 0; index < floods; ++index) {
+            callers.push_back(connectCaller());
+            startAttempt(m_listener.nextArrival().number);
+            endpoints.push_back(m_endpoint.accept());
+            endpoints.back().receiveUntil("\r\n\r\n");
+            endpoints.back().send(head + "\r\n");
+        }
+        const std::string block(64UL * 1024, 'x');
+        std::size_t most = 0;
+        for (std::size_t sent = 0; sent < sentByEach; sent += block.size()) {
+            for (const RawSocket &endpoint : endpoints)
+                endpoint.send(block);
+            most = std::max(most, m_traffic->responseMemory().bytes());
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most < maxResponseBytes + block.size() * 4);
+        const AttemptEnd cut = m_listener.nextAttemptEnd();
+        CPPUNIT_ASSERT(cut.result == AttemptResult::Interrupted && cut.wasTooLong);
+        soundEndpoint.send("und");
+        AttemptEnd end = m_listener.nextAttemptEnd();
+        while (end.result == AttemptResult::Interrupted)
+            end = m_listener.nextAttemptEnd();
+        expectResult(AttemptResult::Answered, end, "sound answer");
+    }
+
     // Streams are limited by their deadline and their caller, not by their length.
     void longValidStreamIsForwarded()
     {
--- a/tests/drivers/traffic_relay_fixture.h
+++ b/tests/drivers/traffic_relay_fixture.h
@@ -105,7 +105,8 @@
     {
         m_thread = std::make_unique<LoopThread>();
         m_thread->runAndWait([this] {
-            m_traffic = std::make_unique<TrafficRelay>(m_thread->loop(), m_codec, m_listener);
+            m_traffic = std::make_unique<TrafficRelay>(m_thread->loop(), m_codec, m_listener,
+                                                       maxResponseBytes);
             m_traffic->listen("127.0.0.1:0");
         });
     }
@@ -117,6 +118,8 @@
     }
 
 protected:
+    static constexpr std::size_t maxResponseBytes = 32UL * 1024 * 1024;
+
     PlainCodec m_codec;
     RecordingTrafficListener m_listener;
     std::unique_ptr<LoopThread> m_thread;
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -22,6 +22,7 @@
     }
     void recordPlatformCall(std::string_view /*call*/, std::string_view /*subject*/) override { }
     void recordEndpointUpdate(Duration /*age*/) override { }
+    void recordTooLongAnswer(std::string_view /*service*/) override { }
     void recordConfiguration(std::string_view /*source*/, Duration /*behindFor*/) override { }
     void recordAttempt(std::string_view /*service*/, AttemptResult /*result*/) override
     {
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -43,6 +43,7 @@
     bool isReady() const;
 
     const std::string &instance() const { return m_instance; }
+    pid_t processId() const { return m_processId; }
     const DaemonSettings &settings() const { return m_settings; }
     unsigned callerPort() const { return m_callerPort; }
     unsigned metricsPort() const { return m_metricsPort; }
