Send no body with the refusal of a HEAD request

What callers saw: the body of the refusal was read as the answer to the next request on the connection, so the answer of an order that had run could not be read. Cause: only answers of endpoints were written for the method of the request; our own were not.

--- a/drivers/traffic/caller_connection.cpp
+++ b/drivers/traffic/caller_connection.cpp
@@ -134,11 +134,12 @@
 
 void CallerConnection::reject(ErrorKind kind)
 {
+    const bool isHeadRequest = m_reader && m_reader->head().method == "HEAD";
     m_input.clear();
     m_reader.reset();
     m_closeAfterSending = true;
     std::string response;
-    appendErrorResponse(kind, std::nullopt, {}, false, response);
+    appendErrorResponse(kind, std::nullopt, {}, isHeadRequest, false, response);
     write(response);
 }
 
--- a/drivers/traffic/response_writer.cpp
+++ b/drivers/traffic/response_writer.cpp
@@ -88,11 +88,14 @@
     if (!keepContentLength)
         appendContentLength(body.size(), output);
     appendConnectionField(keepAlive, output);
-    output.append("\r\n").append(body);
+    output.append("\r\n");
+    if (!keepContentLength)
+        output.append(body);
 }
 
 void appendErrorResponse(ErrorKind kind, std::optional<std::chrono::milliseconds> retryAfter,
-                         std::string_view extraFields, bool keepAlive, std::string &output)
+                         std::string_view extraFields, bool isHeadRequest, bool keepAlive,
+                         std::string &output)
 {
     const ErrorAnswer &error = errorAnswer(kind);
     const nlohmann::ordered_json problem{{"kind", error.name},
@@ -106,7 +109,9 @@
         output.append("Retry-After: ").append(formatSeconds(*retryAfter)).append("\r\n");
     appendContentLength(body.size(), output);
     appendConnectionField(keepAlive, output);
-    output.append("\r\n").append(body);
+    output.append("\r\n");
+    if (!isHeadRequest)
+        output.append(body);
 }
 
 } // namespace monsoonsail
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -224,7 +224,8 @@
         m_codec.writeErrorResponseFields(exchange->head, extraFields);
         std::string output;
         const bool keepAlive = caller->mayKeepAlive();
-        appendErrorResponse(refusal.kind, retryAfter, extraFields, keepAlive, output);
+        appendErrorResponse(refusal.kind, retryAfter, extraFields, exchange->head.method == "HEAD",
+                            keepAlive, output);
         eraseExchange(refusal.request);
         caller->write(output);
         caller->endResponse(keepAlive);
--- a/tests/drivers/traffic_relay_test.cpp
+++ b/tests/drivers/traffic_relay_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(requestLimitIsReportedUntilItIsNoLongerNamed);
     CPPUNIT_TEST(refusedConnectionIsReportedAsNotSent);
     CPPUNIT_TEST(cancelClosesTheEndpointConnection);
+    CPPUNIT_TEST(refusalOfHeadHasNoBody);
     CPPUNIT_TEST(callerDisconnectIsReported);
     CPPUNIT_TEST(earlyResponseToALargeBodyClosesTheConnection);
     CPPUNIT_TEST(staleConnectionIsNotReused);
@@ -203,6 +204,23 @@
         CPPUNIT_ASSERT(m_listener.nextAttemptEnd().result == AttemptResult::NotSent);
     }
 
+    // Callers read the body as the next answer on the connection.
+    void refusalOfHeadHasNoBody()
+    {
+        for (const ErrorKind kind :
+             {ErrorKind::NotFound, ErrorKind::Unauthenticated, ErrorKind::ShareExceeded,
+              ErrorKind::NotReady, ErrorKind::AnswerInterrupted, ErrorKind::DeadlineExceeded}) {
+            const RawSocket client = connectCaller("HEAD /a HTTP/1.1\r\nId: r\r\n\r\n"
+                                                   "GET /a HTTP/1.1\r\nId: s\r\n\r\n");
+            refuse(m_listener.nextArrival().number, kind);
+            refuse(m_listener.nextArrival().number, kind);
+            std::string answers = client.receiveUntil("}");
+            const std::size_t headEnd = answers.find("\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(answers, answers.find("Content-Length: ") < headEnd);
+            CPPUNIT_ASSERT_MESSAGE(answers, answers.substr(headEnd + 4).starts_with("HTTP/1.1 "));
+        }
+    }
+
     void cancelClosesTheEndpointConnection()
     {
         const RawSocket client = connectCaller();
