Arm the timer with each deadline that is entered

What callers saw: on an instance with few requests, a replaced attempt went on for 0.6 s beside its replacement, where 0.4 s are allowed. Cause: the steps of the tick enter deadlines without arming the timer, which only the handlers of events did. Class: two steps that belong together and are called apart. Change: DeadlineQueue reports when its first deadline becomes earlier, and the control plane arms the timer then; the calls by hand are gone. No other place enters deadlines of requests.

--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -125,6 +125,7 @@
                                     return answerMetrics(head);
                                 });
     }
+    m_core.setDeadlineHandler([this] { armDeadlineTimer(); });
     m_configurationFeed.setNewsHandler([this] { sendDigest(); });
     m_allowanceJournal.recover();
     m_configurationFollower.start();
@@ -173,7 +174,6 @@
 void ControlPlane::onRequestArrived(const RequestArrival &request)
 {
     m_core.handleArrival(request, m_loop.now());
-    armDeadlineTimer();
 }
 
 void ControlPlane::onCallerDisconnected(RequestNumber request)
@@ -189,19 +189,16 @@
 void ControlPlane::onAttemptEnded(const AttemptEnd &end)
 {
     m_core.handleAttemptEnd(end, m_loop.now());
-    armDeadlineTimer();
 }
 
 void ControlPlane::onRunMoveEnded(const RunMoveEnd &end)
 {
     m_core.handleMoveEnd(end, m_loop.now());
-    armDeadlineTimer();
 }
 
 void ControlPlane::onEndpointChecked(const EndpointCheckEnd &end)
 {
     m_core.handleEndpointCheckEnd(end, m_loop.now());
-    armDeadlineTimer();
 }
 
 void ControlPlane::onEndpointLimitReported(const EndpointLimitReport &report)
--- a/servers/serving/deadline_queue.h
+++ b/servers/serving/deadline_queue.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "core/instant.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <utility>
@@ -13,11 +14,16 @@
 class DeadlineQueue
 {
 public:
+    /// Sets the function to call when a request becomes the one that is due first.
+    void setEarlierHandler(std::function<void()> handler) { m_earlierHandler = std::move(handler); }
+
     /// Adds the request, or changes its time from `previous` to `next`.
     void reschedule(RequestNumber request, Instant previous, Instant next)
     {
         m_entries.erase({previous, request});
-        m_entries.emplace(next, request);
+        const auto entry = m_entries.emplace(next, request).first;
+        if (entry == m_entries.begin() && m_earlierHandler)
+            m_earlierHandler();
     }
     void remove(RequestNumber request, Instant at) { m_entries.erase({at, request}); }
 
@@ -37,6 +43,7 @@
 
 private:
     std::set<std::pair<Instant, RequestNumber>> m_entries;
+    std::function<void()> m_earlierHandler;
 };
 
 } // namespace monsoonsail
--- a/servers/serving/serving_core.h
+++ b/servers/serving/serving_core.h
@@ -13,10 +13,12 @@
 #include "servers/serving/serving_context.h"
 #include "servers/serving/stream_progress.h"
 
+#include <functional>
 #include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace monsoonsail {
@@ -55,6 +57,11 @@
     /// Ends all requests, also by cutting streams.
     void endAllRequests(Instant now);
     std::optional<Instant> nextDeadline() const { return m_deadlines.earliest(); }
+    /// Sets the function to call when nextDeadline() becomes earlier, whatever the cause.
+    void setDeadlineHandler(std::function<void()> handler)
+    {
+        m_deadlines.setEarlierHandler(std::move(handler));
+    }
 
     /// Whether no request is in progress.
     bool isIdle() const { return m_requests.empty(); }
