Keep the position of a stream when a comment is passed on

What callers saw: a resumed stream whose endpoint crashed after a comment began anew, with events that the caller had. Cause: progress without an event id was reported as event 0, which took the place of the position with which the caller resumed; the relay's own check for repeated events did not begin with that position. An id like 12a counted as 12.

--- a/drivers/traffic/event_splitter.cpp
+++ b/drivers/traffic/event_splitter.cpp
@@ -36,8 +36,11 @@
         if (line.starts_with(' '))
             line.remove_prefix(1);
         EventId id = 0;
-        const auto [rest, error] = std::from_chars(line.data(), line.data() + line.size(), id);
-        if (error == std::errc())
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        const char *const end = line.data() + line.size();
+        const auto [rest, error] = std::from_chars(line.data(), end, id);
+        if (error == std::errc() && rest == end)
             return id;
     }
     return std::nullopt;
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -52,6 +52,7 @@
     auto exchange = std::make_unique<Exchange>();
     exchange->number = arrival.number;
     exchange->callerId = arrival.callerId;
+    exchange->lastEventId = arrival.resumeAfter;
     exchange->head = std::move(head);
     exchange->body = std::move(body);
     exchange->caller = connection.shared_from_this();
--- a/drivers/traffic/traffic_relay_streams.cpp
+++ b/drivers/traffic/traffic_relay_streams.cpp
@@ -55,7 +55,7 @@
         progress.longestPause =
                 std::max(progress.longestPause, m_loop.now() - progress.lastEventAt);
     ++progress.events;
-    progress.lastEvent = exchange.lastEventId.value_or(0);
+    progress.lastEvent = exchange.lastEventId;
     progress.lastEventAt = m_loop.now();
     if (m_requestsWithProgress.empty()) {
         m_progressTimer = m_loop.timers().schedule(m_loop.now() + progressInterval,
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -118,7 +118,8 @@
                     std::max(record.longestPause, progress.firstEventAt - record.lastEventAt);
         record.longestPause = std::max(record.longestPause, progress.longestPause);
         record.lastEventAt = progress.lastEventAt;
-        record.lastEvent = progress.lastEvent;
+        if (progress.lastEvent)
+            record.lastEvent = progress.lastEvent;
         recordUsage(record, progress.lastEventAt);
         const auto attempt = std::ranges::find(record.runningAttempts, progress.attempt,
                                                &RunningAttempt::number);
--- a/tests/drivers/event_splitter_test.cpp
+++ b/tests/drivers/event_splitter_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(eventsAreWholeForEverySplit);
     CPPUNIT_TEST(incompleteEventIsReported);
     CPPUNIT_TEST(idsAreParsed);
+    CPPUNIT_TEST(otherFieldsAndForeignIdsAreNoId);
     CPPUNIT_TEST(onlyLinesThatBeginAResponseAreStatusLines);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +49,21 @@
         CPPUNIT_ASSERT(splitter.hasRemainder());
     }
 
+    void otherFieldsAndForeignIdsAreNoId()
+    {
+        for (const std::string event : {": id: 7\n\n", "id:\n\n", "id\n\n", "id: 12a\ndata: x\n\n",
+                                        "id: a\n\n", "idx: 7\n\n", "data: id: 7\n\n"}) {
+            EventSplitter splitter;
+            splitter.add(event);
+            CPPUNIT_ASSERT(splitter.next());
+            CPPUNIT_ASSERT_MESSAGE(event, !splitter.id());
+        }
+        EventSplitter splitter;
+        splitter.add("id: 7\r\ndata: x\r\n\r\n");
+        CPPUNIT_ASSERT(splitter.next());
+        CPPUNIT_ASSERT_EQUAL(EventId{7}, *splitter.id());
+    }
+
     void idsAreParsed()
     {
         EventSplitter splitter;
--- a/tests/drivers/plain_codec.h
+++ b/tests/drivers/plain_codec.h
@@ -2,6 +2,8 @@
 
 #include "drivers/traffic/wire_codec.h"
 
+#include <string>
+
 namespace monsoonsail {
 
 /// A codec with only the fields that a TrafficRelay needs. "Id" identifies the request.
@@ -12,6 +14,8 @@
     {
         arrival.callerId = head.fields.find("Id").value_or("");
         arrival.path = head.target;
+        if (const auto resumeAfter = head.fields.find("Resume"))
+            arrival.resumeAfter = std::stoull(std::string(*resumeAfter));
         return head.target == "/malformed" ? ErrorKind::MalformedRequest : ErrorKind::None;
     }
     void writeForwardedHead(const RequestHead &head, const AttemptStart &attempt,
--- a/tests/drivers/traffic_relay_stream_test.cpp
+++ b/tests/drivers/traffic_relay_stream_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(streamWithoutLengthEndingInsideAnEventIsInterrupted);
     CPPUNIT_TEST(streamWithoutLengthOrEventsIsInterrupted);
     CPPUNIT_TEST(resumedStreamContinuesWithoutDuplicates);
+    CPPUNIT_TEST(commentDoesNotMoveThePositionOfAResumedStream);
     CPPUNIT_TEST(streamGoesOnUntilItsReplacementBegins);
     CPPUNIT_TEST(streamThatHasGoneOnIsNotReplaced);
     CPPUNIT_TEST(runFromTheStartDoesNotContinueTheEventsOfAnother);
@@ -119,6 +120,20 @@
         CPPUNIT_ASSERT(endOfUnframedStream("", 7).result == AttemptResult::Streamed);
     }
 
+    // A crash after the comment made the stream begin anew.
+    void commentDoesNotMoveThePositionOfAResumedStream()
+    {
+        const RawSocket client = connectCaller("GET /a HTTP/1.1\r\nId: r\r\nResume: 12\r\n\r\n");
+        startAttempt(m_listener.nextArrival().number, true, EventId{12});
+        RawSocket endpoint = m_endpoint.accept();
+        endpoint.receiveUntil("\r\n\r\n");
+        endpoint.send("HTTP/1.1 200 OK\r\nId: r\r\nContent-Type: text/event-stream\r\n\r\n"
+                      ": reading\n\n");
+        CPPUNIT_ASSERT(m_listener.nextProgress().lastEvent == EventId{12});
+        endpoint.close();
+        CPPUNIT_ASSERT(m_listener.nextAttemptEnd().lastEvent == EventId{12});
+    }
+
     void resumedStreamContinuesWithoutDuplicates()
     {
         const RawSocket client = connectCaller();
