Serialize ids that are not UTF-8 instead of ending the process

What callers saw: a stream whose id holds a byte above 127 was moved off a draining endpoint, and the daemon ended with all requests in progress. Cause: the serializer of the move request throws for such text, and nothing catches it on the traffic thread. Change: toJsonText(), which writes U+FFFD for such bytes, is the only place that serializes JSON: logs, records in the store, usage reports, orders of engines, error responses, move requests. An endpoint does not know the replaced id and answers 404, so such a run stays, or goes on elsewhere if it may be resumed.

--- a/drivers/logging/json_decision_log.cpp
+++ b/drivers/logging/json_decision_log.cpp
@@ -1,5 +1,7 @@
 #include "drivers/logging/json_decision_log.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -58,7 +60,7 @@
         line["request"] = request;
     for (const LogField &field : fields)
         std::visit([&](const auto &value) { line[std::string(field.name)] = value; }, field.value);
-    m_writer.add(line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+    m_writer.add(toJsonText(line));
 }
 
 void JsonDecisionLog::reportDropped()
--- a/drivers/logging/json_log_sink.cpp
+++ b/drivers/logging/json_log_sink.cpp
@@ -1,5 +1,7 @@
 #include "drivers/logging/json_log_sink.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -35,7 +37,7 @@
     object["event"] = "message";
     object["source"] = std::string(baseFilename) + ":" + std::to_string(line);
     object["message"] = std::string(message, length);
-    m_writer.add(object.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+    m_writer.add(toJsonText(object));
 }
 
 } // namespace monsoonsail
--- a/drivers/logging/log_timeline.cpp
+++ b/drivers/logging/log_timeline.cpp
@@ -1,5 +1,7 @@
 #include "drivers/logging/log_timeline.h"
 
+#include "core/json_text.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -82,7 +84,8 @@
         if (name == "time" || name == "instance" || name == "event" || name == "incarnation"
             || name == "level" || name == "request")
             continue;
-        result += " " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+        result += " " + name + "="
+                + (value.is_string() ? value.get<std::string>() : toJsonText(value));
     }
     return result;
 }
--- a/drivers/traffic/response_writer.cpp
+++ b/drivers/traffic/response_writer.cpp
@@ -1,6 +1,7 @@
 #include "drivers/traffic/response_writer.h"
 
 #include "core/instant.h"
+#include "core/json_text.h"
 #include "core/outcome.h"
 
 #include <nlohmann/json.hpp>
@@ -102,7 +103,7 @@
                                          {"title", error.title},
                                          {"status", error.status},
                                          {"outcome", outcomeName(error.outcome)}};
-    const std::string body = problem.dump();
+    const std::string body = toJsonText(problem);
     appendStatus(error.status, error.name, output);
     output.append(extraFields).append("Content-Type: application/problem+json\r\n");
     if (retryAfter)
--- a/main/monsoonctl/main.cpp
+++ b/main/monsoonctl/main.cpp
@@ -1,3 +1,4 @@
+#include "core/json_text.h"
 #include "drivers/logging/log_timeline.h"
 
 #include <absl/flags/flag.h>
@@ -39,7 +40,7 @@
         timeline.read(std::cin);
     const auto lines = timeline.lines(absl::GetFlag(FLAGS_lead_s));
     for (const auto &line : lines)
-        std::cout << (absl::GetFlag(FLAGS_json) ? line.dump() : formatLogLine(line)) << "\n";
+        std::cout << (absl::GetFlag(FLAGS_json) ? toJsonText(line) : formatLogLine(line)) << "\n";
     if (timeline.unreadableLines() > 0)
         std::cerr << timeline.unreadableLines() << " lines could not be read and were skipped\n";
     if (!lines.empty())
--- a/servers/allowance/allowance_journal.cpp
+++ b/servers/allowance/allowance_journal.cpp
@@ -1,6 +1,7 @@
 #include "servers/allowance/allowance_journal.h"
 
 #include "core/json_fields.h"
+#include "core/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -189,7 +190,7 @@
     for (const auto &[account, use] : uses)
         document["uses"][account.value()] = use;
     m_isStoring = true;
-    m_log.append(topic, key, document.dump(), std::nullopt,
+    m_log.append(topic, key, toJsonText(document), std::nullopt,
                  [this, era](std::error_code error, LogOffset /*offset*/) {
                      m_isStoring = false;
                      if (!error) {
--- a/servers/duties/duty_election.cpp
+++ b/servers/duties/duty_election.cpp
@@ -1,6 +1,7 @@
 #include "servers/duties/duty_election.h"
 
 #include "core/json_fields.h"
+#include "core/json_text.h"
 #include "core/store_error.h"
 
 #include <nlohmann/json.hpp>
@@ -174,9 +175,10 @@
     m_callStartedAt = m_now();
     const nlohmann::json record{{"instance", m_self.instance}, {"incarnation", m_self.incarnation}};
     m_isCallPending = true;
-    m_log.append(topic, key, record.dump(), end, [this](std::error_code error, LogOffset offset) {
-        handleClaimAppended(error, offset);
-    });
+    m_log.append(topic, key, toJsonText(record), end,
+                 [this](std::error_code error, LogOffset offset) {
+                     handleClaimAppended(error, offset);
+                 });
 }
 
 void DutyElection::handleClaimAppended(std::error_code error, LogOffset offset)
--- a/servers/duties/usage_records.cpp
+++ b/servers/duties/usage_records.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "core/json_fields.h"
+#include "core/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,11 +20,10 @@
     nlohmann::json counts = nlohmann::json::object();
     for (const auto &[account, requests] : record.counts)
         counts[account.value()] = requests;
-    return nlohmann::json{{"window", record.window},
-                          {"incarnation", record.incarnation},
-                          {"counts", counts},
-                          {"era", record.era}}
-            .dump();
+    return toJsonText(nlohmann::json{{"window", record.window},
+                                     {"incarnation", record.incarnation},
+                                     {"counts", counts},
+                                     {"era", record.era}});
 }
 
 std::optional<UsageRecord> decodeUsage(std::string_view text)
--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(leavingAndRetryAfterAreParsed);
     CPPUNIT_TEST(requestLimitIsParsed);
     CPPUNIT_TEST(moveResponsesAreParsed);
+    CPPUNIT_TEST(moveOfARunWhoseIdIsNotUtf8IsWritten);
     CPPUNIT_TEST(statusCheckNeedsNoSlot);
     CPPUNIT_TEST_SUITE_END();
 
@@ -236,6 +237,15 @@
         CPPUNIT_ASSERT(!none.requestsPerSecond && !none.hasInvalidLimit);
     }
 
+    // The exception ended the process.
+    void moveOfARunWhoseIdIsNotUtf8IsWritten()
+    {
+        std::string output;
+        m_codec.writeMoveRequest("\xae-17", {.targetAddress = "10.0.0.1:80"}, output);
+        CPPUNIT_ASSERT_MESSAGE(output,
+                               output.find("\"Id\":\"\xef\xbf\xbd-17\"") != std::string::npos);
+    }
+
     void moveResponsesAreParsed()
     {
         CPPUNIT_ASSERT(parseMoveResponse(200, R"({"Handle": "h"})").result == RunMoveResult::Moved);
