--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <utility>
 
 namespace monsoonsail {
@@ -115,10 +116,7 @@
                           [this](const RequestHead &head, std::string_view /*body*/) {
                               return answerReadiness(head);
                           });
-    m_peerServer.emplace(m_loop, m_settings.digestListen,
-                         [this](const RequestHead &head, std::string_view /*body*/) {
-                             return answerPeer(head);
-                         });
+    startPeerServer();
     if (!m_settings.metricsListen.empty()) {
         m_metricsServer.emplace(m_loop, m_settings.metricsListen,
                                 [this](const RequestHead &head, std::string_view /*body*/) {
@@ -244,6 +242,20 @@
     return {.body = m_configurationFeed.text()};
 }
 
+// Without this server the instance still serves; only its peers can't ask it.
+void ControlPlane::startPeerServer()
+{
+    try {
+        m_peerServer.emplace(m_loop, m_settings.digestListen,
+                             [this](const RequestHead &head, std::string_view /*body*/) {
+                                 return answerPeer(head);
+                             });
+    } catch (const std::system_error &error) {
+        m_decisionLog.write(LogLevel::Warning, "peer-server-failed", {},
+                            {{"address", m_settings.digestListen}, {"error", error.what()}});
+    }
+}
+
 bool ControlPlane::isReady() const
 {
     return m_context.configuration != nullptr && !m_context.isConfigurationOutdated(m_loop.now())
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -64,6 +64,7 @@
     TopicFollower::Scheduler makeScheduler();
     LocalServer::Response answerReadiness(const RequestHead &head) const;
     LocalServer::Response answerMetrics(const RequestHead &head);
+    void startPeerServer();
     /// Answers other entry instances.
     LocalServer::Response answerPeer(const RequestHead &head) const;
     bool isReady() const;
