--- a/drivers/traffic/response_writer.h
+++ b/drivers/traffic/response_writer.h
@@ -18,7 +18,8 @@
 /// Appends the chunk that ends a chunked body.
 void appendLastChunk(std::string &output);
 /// Appends a complete response without the hop-by-hop fields of `head`. Responses to HEAD and those
-/// with status 204 or 304 keep their Content-Length and get no body; others get the length of `body`.
+/// with status 204 or 304 keep their Content-Length and get no body; others get the length of
+/// `body`.
 void appendResponse(const ResponseHead &head, std::string_view body, bool isHeadRequest,
                     bool keepAlive, std::string &output);
 /// Appends an error response of this instance as a problem document (RFC 9457), which a response to
--- a/servers/serving/attempt_launcher.cpp
+++ b/servers/serving/attempt_launcher.cpp
@@ -152,19 +152,18 @@
     m_context.placerFor(*record.service)
             .recordAttemptStart(number, placementRequest(record), placement, now);
     const RequestArrival &arrival = record.arrival;
-    m_context.log.write(
-            LogLevel::Detail, "attempt-started", arrival.callerId,
-            {{"attempt", static_cast<std::int64_t>(number)},
-             {"endpoint", endpoint.id.view()},
-             {"run", toLog(record.runs.count())},
-             {"allowed_runs", static_cast<std::int64_t>(allowance.runs)},
-             {"earlier_endpoints", earlierEndpoints},
-             {"excused_runs", excusedRuns},
-             {"uncached_tokens", static_cast<std::int64_t>(placement.uncachedTokens)},
-             {"moved", placement.cache.kind == CacheSource::Kind::Moved},
-             {"revision", static_cast<std::int64_t>(record.configuration->revision())},
-             {"configuration_age_ms", toMs(now - m_context.configurationAsOf)},
-             {"behind_ms", toMs(m_context.configurationBehindFor(now))}});
+    m_context.log.write(LogLevel::Detail, "attempt-started", arrival.callerId,
+                        {{"attempt", static_cast<std::int64_t>(number)},
+                         {"endpoint", endpoint.id.view()},
+                         {"run", toLog(record.runs.count())},
+                         {"allowed_runs", static_cast<std::int64_t>(allowance.runs)},
+                         {"earlier_endpoints", earlierEndpoints},
+                         {"excused_runs", excusedRuns},
+                         {"uncached_tokens", static_cast<std::int64_t>(placement.uncachedTokens)},
+                         {"moved", placement.cache.kind == CacheSource::Kind::Moved},
+                         {"revision", static_cast<std::int64_t>(record.configuration->revision())},
+                         {"configuration_age_ms", toMs(now - m_context.configurationAsOf)},
+                         {"behind_ms", toMs(m_context.configurationBehindFor(now))}});
     m_context.traffic.startAttempt(
             {.request = arrival.number,
              .attempt = number,
