Wait for closed connections between the uploads of EarlyAnswerTest

Cause: the endpoint of the test answers with a length, lets the connection be kept and closes it. The daemon may send the next upload on it before the close has arrived; /book/ can't be repeated, so the caller gets 502 and the endpoint counts no run. Ruled out: a fault of the daemon, which checks a kept connection for its end before it is used; a request that can't be repeated may not be sent again. Change: the test sends an upload only after its endpoints have closed the connections of earlier requests. Framings, endings, paths and checks are as before.

--- a/tests/processes/early_response_test.cpp
+++ b/tests/processes/early_response_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
@@ -43,10 +44,12 @@
     std::unique_ptr<TestSite> m_site;
     std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
     bool m_isFramed = false;
+    std::atomic<unsigned> m_openConnections = 0; ///< Those on which a request is being answered.
 
     /// The first run of an upload answers early; without a framing, it leaves out the second half.
     void serve(const ScriptedRequest &request, RawSocket &socket)
     {
+        ++m_openConnections;
         m_site->runCounter().countRun(request.id);
         const bool isStream = request.path.starts_with("/review/");
         const bool isSound = request.id == "start" || m_site->runCounter().runCount(request.id) > 1;
@@ -62,6 +65,15 @@
         if (!isSound)
             end(request.id, socket);
         socket.close();
+        --m_openConnections;
+    }
+
+    /// Waits until the endpoints have closed the connections of earlier requests. Their answers
+    /// allow that these are kept, so the daemon might send an upload on one that is about to close,
+    /// and what can't be repeated would fail.
+    bool waitForClosedConnections() const
+    {
+        return waitUntil(callTimeout, [this] { return m_openConnections == 0; });
     }
 
     static void end(const std::string &id, RawSocket &socket)
@@ -76,6 +88,7 @@
 
     CallResult upload(const std::string &ending, const std::string &path) const
     {
+        CPPUNIT_ASSERT(waitForClosedConnections());
         return Caller().upload(m_site->daemons().front()->callerPort(), path, ending + path,
                                callTimeout, std::string(uploadBytes, 'q'));
     }
