Bound the traffic to a new software version and count its evidence

Without it a new version gets its part by number of endpoints from the moment it is listed, 50 % where as many are started.

Change: RolloutTraffic holds the newest phase of each roll-out, samples requests by credits, and chooses the endpoints a run may use; AttemptLauncher::candidates() asks it where roll-outs are enabled, and takes the path of before elsewhere. RolloutEvidence counts answers, failures and times relative to the old versions by version and route, and sums them with those of peers. Digests carry both (fields 28 and 29).

--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -1,12 +1,20 @@
 #include "drivers/mesh/digest_codec.h"
 
 #include "drivers/mesh/digest_records.h"
+#include "drivers/mesh/rollout_records.h"
 #include "drivers/mesh/wire_fields.h"
 
+#include <cstddef>
+#include <utility>
+
 namespace monsoonsail {
 
 namespace {
 
+/// Limits on the records that are read from a digest.
+constexpr std::size_t maxRollouts = 64;
+constexpr std::size_t maxVersionEvidence = 256;
+
 /// Numbers of the fields on the wire.
 enum class DigestField : protozero::pbf_tag_type {
     Layout = layoutTag,
@@ -35,6 +43,8 @@
     ListEnd = 25,
     ListChecksum = 26,
     PartTrial = 27,
+    Rollout = 28,
+    VersionEvidence = 29,
 };
 
 enum Flag : std::uint32_t {
@@ -150,6 +160,16 @@
     case lengthDelimited(DigestField::EndpointLimit):
         digest.endpointLimits.push_back(readEndpointLimit(reader.get_message()));
         break;
+    case lengthDelimited(DigestField::Rollout):
+        if (auto state = readRollout(reader.get_message());
+            state && digest.rollouts.size() < maxRollouts)
+            digest.rollouts.push_back(std::move(*state));
+        break;
+    case lengthDelimited(DigestField::VersionEvidence):
+        if (auto evidence = readVersionEvidence(reader.get_message());
+            evidence && digest.versionEvidence.size() < maxVersionEvidence)
+            digest.versionEvidence.push_back(std::move(*evidence));
+        break;
     case varint(DigestField::ListEnd):
         digest.listEnd = reader.get_uint64();
         break;
@@ -212,6 +232,10 @@
     }
     for (const Digest::EndpointLimit &limit : digest.endpointLimits)
         writeEndpointLimit(limit, Writer(writer, tag(DigestField::EndpointLimit)));
+    for (const RolloutState &state : digest.rollouts)
+        writeRollout(state, Writer(writer, tag(DigestField::Rollout)));
+    for (const VersionEvidence &evidence : digest.versionEvidence)
+        writeVersionEvidence(evidence, Writer(writer, tag(DigestField::VersionEvidence)));
     for (const std::string &address : digest.peerAddresses)
         writer.add_string(tag(DigestField::PeerAddress), address);
     writer.add_bool(tag(DigestField::End), true);
--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -70,6 +70,11 @@
                                     .Help("Answers of endpoints that were given up for their "
                                           "length, by service")
                                     .Register(m_registry))
+    , m_rolloutRunFamily(prometheus::BuildCounter()
+                                 .Name("monsoonsail_rollout_runs_total")
+                                 .Help("Runs sent to a software version that is rolled out, by "
+                                       "service and phase")
+                                 .Register(m_registry))
     , m_platformCallFamily(prometheus::BuildCounter()
                                    .Name("monsoonsail_platform_calls_total")
                                    .Help("Calls to the platform, by kind and topic or duty")
@@ -181,6 +186,17 @@
             .Increment();
 }
 
+void PrometheusMetrics::recordRolloutRun(std::string_view service, std::string_view phase)
+{
+    findOrAddSeries(
+            m_rolloutRuns, service, phase,
+            [&]() -> auto & {
+                return m_rolloutRunFamily.Add(
+                        {{"service", std::string(service)}, {"phase", std::string(phase)}});
+            })
+            .Increment();
+}
+
 void PrometheusMetrics::recordPlatformCall(std::string_view call, std::string_view subject)
 {
     findOrAddSeries(
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -29,6 +29,7 @@
     void recordTakeUp(std::string_view service, std::string_view outcome) override;
     void recordJudgedStreamEnd(std::string_view service, StreamEndGround ground) override;
     void recordTooLongAnswer(std::string_view service) override;
+    void recordRolloutRun(std::string_view service, std::string_view phase) override;
     void recordPlatformCall(std::string_view call, std::string_view subject) override;
     void recordEndpointUpdate(Duration age) override;
     void recordConfiguration(std::string_view source, Duration behindFor) override;
@@ -56,6 +57,7 @@
     Counters &m_takeUpFamily;
     Counters &m_judgedStreamEndFamily;
     Counters &m_tooLongAnswerFamily;
+    Counters &m_rolloutRunFamily;
     Counters &m_platformCallFamily;
     Histograms &m_configurationDelayFamily;
     prometheus::Histogram &m_endpointUpdateAge;
@@ -68,6 +70,7 @@
     SeriesMap<prometheus::Counter> m_takeUps;
     SeriesMap<prometheus::Counter> m_judgedStreamEnds;
     SeriesMap<prometheus::Counter> m_tooLongAnswers;
+    SeriesMap<prometheus::Counter> m_rolloutRuns;
     SeriesMap<prometheus::Counter> m_platformCalls;
     SeriesMap<prometheus::Histogram> m_configurationDelays;
     std::map<std::string, prometheus::Gauge *> m_gauges;
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -117,6 +117,7 @@
                 return m_mesh.isAmongChosen(seed, count, now);
             });
     m_context.promptQuarantine.setNewsHandler([this] { sendDigest(); });
+    m_context.rolloutTraffic.setNewsHandler([this] { sendDigest(); });
     m_decisionLog.write(LogLevel::Info, "started", {},
                         {{"zone", m_settings.zone}, {"callers", m_settings.callerListen}});
     m_readyServer.emplace(m_loop, m_settings.readyListen,
@@ -304,6 +305,7 @@
     m_core.evacuateLeavingEndpoints(now);
     m_mesh.expire(now);
     m_context.promptQuarantine.expire(now);
+    m_context.rolloutTraffic.observe(m_context.endpoints, now);
     updateEndpointLimits();
     m_context.repeatBudget.setInstanceCount(m_mesh.instanceCount());
     m_context.allowances.updateReservations(m_mesh, now);
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -65,6 +65,8 @@
     digest.isStoreBehind = digest.isReader && m_context.isStoreBehind;
     m_context.promptQuarantine.fillDigest(digest, now);
     m_context.endpointLimits.fillDigest(digest, now);
+    digest.rollouts = m_context.rolloutTraffic.states();
+    digest.versionEvidence = m_context.rolloutEvidence.nextDigestEvidence();
     digest.sequence = ++m_digestsSent;
     m_meshSocket.send(digest, targets);
     digest.usageCounts = m_context.usageMeter.recentOwnCounts();
@@ -84,6 +86,9 @@
     m_context.servicePlacer->applyPeerDigest(*peer, now);
     m_context.promptQuarantine.applyPeerDigest(*peer);
     m_context.endpointLimits.applyPeerDigest(*peer);
+    m_context.rolloutTraffic.applyPeerStates(peer->digest.rollouts, peer->clockOffset, now);
+    m_context.rolloutEvidence.applyPeerEvidence(peer->digest.instance, peer->digest.incarnation,
+                                                peer->digest.versionEvidence);
     m_endpointExchange.handleDigest(*peer, now);
     for (const Digest::EndpointLoad &load : peer->digest.endpointLoads) {
         if (load.isSuspect)
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -3,6 +3,8 @@
 #include "core/identifiers.h"
 #include "core/instant.h"
 #include "core/name_hash.h"
+#include "servers/rollout/rollout_state.h"
+#include "servers/rollout/version_evidence.h"
 #include "servers/serving/prompt_part.h"
 
 #include <chrono>
@@ -116,6 +118,10 @@
     std::vector<PartTrial> partTrials; ///< Only those in progress.
     std::vector<LiveEndpoint> liveEndpoints;
     std::vector<EndpointLimit> endpointLimits;
+    std::vector<RolloutState> rollouts; ///< Newest known state of each service, by sender's clock.
+    /// The sender's own counts since the order, of services with an open roll-out. If there are
+    /// many, each digest has some of them in turn.
+    std::vector<VersionEvidence> versionEvidence;
     /// Age of the sender's knowledge of the configuration and of the endpoints.
     Duration configurationAge{};
     Duration endpointsAge{};
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -33,6 +33,9 @@
     virtual void recordJudgedStreamEnd(std::string_view service, StreamEndGround ground) = 0;
     /// Records an answer of the service that was given up for its length.
     virtual void recordTooLongAnswer(std::string_view service) = 0;
+    /// Records a run that is sent to the target of a roll-out of the service in this phase, or to a
+    /// version that has appeared without an order.
+    virtual void recordRolloutRun(std::string_view service, std::string_view phase) = 0;
     /// Records the start of a call to the platform. `subject` is its topic or duty.
     virtual void recordPlatformCall(std::string_view call, std::string_view subject) = 0;
     /// Records a change of an endpoint that this instance learned of by a bulletin. `age` is the
--- a/servers/serving/attempt_launcher.cpp
+++ b/servers/serving/attempt_launcher.cpp
@@ -1,5 +1,6 @@
 #include "servers/serving/attempt_launcher.h"
 
+#include "core/hash.h"
 #include "servers/serving/run_allowance.h"
 
 #include <algorithm>
@@ -67,6 +68,14 @@
     return text;
 }
 
+RolloutRun rolloutRun(const RequestRecord &record)
+{
+    return {.service = record.service->name,
+            .software = record.software,
+            .isSampled = record.isSampledForTrial,
+            .isFirst = record.attemptSoftware.empty()};
+}
+
 std::optional<unsigned> engineUrgency(const RequestRecord &record)
 {
     if (!record.service->engine)
@@ -102,25 +111,62 @@
     });
 }
 
+bool AttemptLauncher::isFree(const RequestRecord &record, const Endpoint &endpoint,
+                             Instant now) const
+{
+    return hasSoftwareFor(record, endpoint)
+            && m_context.endpointHealth.closedUntil(endpoint.id, now) <= now
+            && m_context.endpointLimits.mayUse(endpoint.id, now)
+            && std::ranges::find(record.runningAttempts, endpoint.id, &RunningAttempt::endpoint)
+            == record.runningAttempts.end();
+}
+
 std::vector<const Endpoint *> AttemptLauncher::candidates(const RequestRecord &record,
                                                           Instant now) const
 {
+    if (m_context.rolloutTraffic.isEnabled())
+        return rolloutCandidates(record, now);
     std::vector<const Endpoint *> untried;
     std::vector<const Endpoint *> tried;
     for (const auto &[id, endpoint] : m_context.endpoints.all()) {
-        if (!hasSoftwareFor(record, endpoint) || !endpoint.isUsable(now)
-            || m_context.endpointHealth.closedUntil(id, now) > now
-            || !m_context.endpointLimits.mayUse(id, now))
-            continue;
-        const bool isRunning =
-                std::ranges::find(record.runningAttempts, id, &RunningAttempt::endpoint)
-                != record.runningAttempts.end();
-        if (!isRunning)
+        if (endpoint.isUsable(now) && isFree(record, endpoint, now))
             (record.avoidedEndpoints.contains(id) ? tried : untried).push_back(&endpoint);
     }
     return untried.empty() ? tried : untried;
 }
 
+std::vector<const Endpoint *> AttemptLauncher::rolloutCandidates(const RequestRecord &record,
+                                                                 Instant now) const
+{
+    std::vector<RolloutCandidate> usable;
+    for (const auto &[id, endpoint] : m_context.endpoints.all()) {
+        if (endpoint.listing.service != record.service->name || !endpoint.isUsable(now))
+            continue;
+        usable.push_back({.endpoint = &endpoint,
+                          .isFree = isFree(record, endpoint, now),
+                          .isTried = record.avoidedEndpoints.contains(id),
+                          .isSuspect = m_context.endpointHealth.isSuspect(id, now)});
+    }
+    return m_context.rolloutTraffic.mayUse(rolloutRun(record), usable, now);
+}
+
+void AttemptLauncher::recordRolloutStart(const RequestRecord &record, const Placement &placement,
+                                         const SoftwareVersion &software, AttemptNumber number,
+                                         Instant now)
+{
+    m_context.rolloutTraffic.recordStart(rolloutRun(record), software, now);
+    // A moved run has read its prompt elsewhere.
+    if (placement.movedFrom != 0)
+        return;
+    m_context.rolloutEvidence.recordStart(number,
+                                          {.service = record.service->name,
+                                           .software = software,
+                                           .routeHash = stableHash(record.route->name),
+                                           .isStream = record.isStream(),
+                                           .uncachedTokens = placement.uncachedTokens},
+                                          now);
+}
+
 std::optional<Placement> AttemptLauncher::place(const RequestRecord &record, Instant now) const
 {
     return m_context.placerFor(*record.service)
@@ -163,6 +209,8 @@
     const RunAllowance allowance = runAllowance(record, m_context, now);
     const std::string excusedRuns = toLog(allowance.excused);
     record.runningAttempts.push_back({.number = number, .endpoint = endpoint.id, .startedAt = now});
+    if (m_context.rolloutTraffic.isEnabled())
+        recordRolloutStart(record, placement, endpoint.listing.software, number, now);
     record.attemptSoftware[number] = endpoint.listing.software;
     if (placement.movedFrom != 0)
         record.runs.beginContinuation(number, endpoint.id, placement.movedFrom);
@@ -210,6 +258,12 @@
 void AttemptLauncher::recordEnd(const RequestRecord &record, const RunningAttempt &attempt,
                                 EndpointVerdict verdict, Instant now)
 {
+    if (verdict == EndpointVerdict::Succeeded)
+        m_context.rolloutEvidence.recordAnswer(attempt.number, now);
+    else if (verdict == EndpointVerdict::Failed)
+        m_context.rolloutEvidence.recordFailure(attempt.number);
+    else
+        m_context.rolloutEvidence.discard(attempt.number);
     m_context.endpointHealth.recordAttemptEnd(attempt.number, verdict, now);
     m_context.placerFor(*record.service).recordAttemptEnd(attempt.number, now);
 }
@@ -217,6 +271,8 @@
 void AttemptLauncher::cancel(const RequestRecord &record, const RunningAttempt &attempt,
                              EndpointVerdict verdict, Instant now)
 {
+    // Whoever cancels it, the endpoint has not failed; it may only have been slow.
+    m_context.rolloutEvidence.recordCancel(attempt.number, now);
     recordEnd(record, attempt, verdict, now);
     m_context.traffic.cancelAttempt(record.arrival.number, attempt.number);
 }
--- a/servers/serving/attempt_launcher.h
+++ b/servers/serving/attempt_launcher.h
@@ -48,7 +48,15 @@
                 Instant now);
     /// Whether the endpoint has the service and a software version that the request can run at.
     bool hasSoftwareFor(const RequestRecord &record, const Endpoint &endpoint) const;
+    /// Whether the request may be sent to the endpoint, if that is usable: it is open to this
+    /// instance, has a version that the request can run at, and does not run the request already.
+    bool isFree(const RequestRecord &record, const Endpoint &endpoint, Instant now) const;
     std::vector<const Endpoint *> candidates(const RequestRecord &record, Instant now) const;
+    /// The same where software versions are rolled out.
+    std::vector<const Endpoint *> rolloutCandidates(const RequestRecord &record, Instant now) const;
+    /// Reports an attempt that is about to begin to the roll-out of its software version.
+    void recordRolloutStart(const RequestRecord &record, const Placement &placement,
+                            const SoftwareVersion &software, AttemptNumber number, Instant now);
 
     ServingContext &m_context;
     AttemptNumber m_lastAttempt = 0;
--- a/servers/serving/request_record.h
+++ b/servers/serving/request_record.h
@@ -81,12 +81,13 @@
     Instant originDueAt = Instant::max();
     RequestRuns runs;
     StopOrders stopOrders;
-    unsigned repeats = 0;     ///< Attempts after the first.
-    bool mayHaveRun = false;  ///< Whether an attempt may have run.
-    bool isStreaming = false; ///< Whether events have been relayed to the caller.
-    bool isMetered = false;   ///< Whether the run has been counted as usage.
-    double charge = 0;        ///< What was charged to the allowance of its account.
-    Instant firstEventAt;     ///< Set if `isStreaming`.
+    unsigned repeats = 0;           ///< Attempts after the first.
+    bool isSampledForTrial = false; ///< Whether its first run may use a version on trial.
+    bool mayHaveRun = false;        ///< Whether an attempt may have run.
+    bool isStreaming = false;       ///< Whether events have been relayed to the caller.
+    bool isMetered = false;         ///< Whether the run has been counted as usage.
+    double charge = 0;              ///< What was charged to the allowance of its account.
+    Instant firstEventAt;           ///< Set if `isStreaming`.
     Instant lastEventAt;
     Duration longestPause{}; ///< Between two events relayed to the caller.
     std::optional<EventId> lastEvent;
--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t engineSeed = 1;
 constexpr std::uint64_t serviceSeed = 2;
 constexpr std::uint64_t allowanceSeed = 3;
+constexpr std::uint64_t rolloutSeed = 4;
 } // namespace
 
 ServingContext::ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
@@ -33,6 +34,8 @@
     , repeatBudget(limits.repeats)
     , allowances(limits.allowances, stableHash(incarnation, allowanceSeed))
     , usageMeter(incarnation, limits.usageWindow)
+    , rolloutTraffic(log, metrics, stableHash(incarnation, rolloutSeed))
+    , rolloutEvidence(rolloutTraffic)
 { }
 
 } // namespace monsoonsail
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -15,6 +15,8 @@
 #include "servers/ports/traffic_port.h"
 #include "servers/quarantine/prompt_quarantine.h"
 #include "servers/retry/repeat_budget.h"
+#include "servers/rollout/rollout_evidence.h"
+#include "servers/rollout/rollout_traffic.h"
 #include "servers/serving/answer_times.h"
 #include "servers/serving/serving_limits.h"
 #include "servers/site/site_configuration.h"
@@ -98,6 +100,8 @@
     AnswerTimes answerTimes;
     UnversionedStreams unversionedStreams;
     StreamVersions *streamVersions = &unversionedStreams; ///< Never null.
+    RolloutTraffic rolloutTraffic;
+    RolloutEvidence rolloutEvidence;
 };
 
 } // namespace monsoonsail
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -50,6 +50,7 @@
         return;
     }
     m_context.repeatBudget.recordRequest(record.service->name, now);
+    record.isSampledForTrial = m_context.rolloutTraffic.sample(record.service->name);
     if (record.isTakeUp())
         findOrigin(record, now);
     else
@@ -138,6 +139,8 @@
         if (attempt == record.runningAttempts.end())
             continue;
         recordEvents(record, *attempt, progress, now);
+        m_context.rolloutEvidence.recordEvents(progress.attempt, progress.events,
+                                               progress.firstEventAt, progress.lastEventAt);
         m_context.endpointHealth.recordStreamEvent(progress.attempt, progress.lastEventAt);
         m_context.placerFor(*record.service).recordProgress(progress.attempt, progress.events, now);
     }
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -16,6 +16,8 @@
 {
     CPPUNIT_TEST_SUITE(DigestCodecTest);
     CPPUNIT_TEST(everyFieldArrives);
+    CPPUNIT_TEST(rolloutsArrive);
+    CPPUNIT_TEST(oddRolloutsAreSkipped);
     CPPUNIT_TEST(truncatedDigestsAreDropped);
     CPPUNIT_TEST(otherLayoutsAreDropped);
     CPPUNIT_TEST(bulletinArrives);
@@ -24,6 +26,29 @@
 
     const Instant m_now = instantFromMicroseconds(1'000'000'000);
 
+    RolloutState rollout() const
+    {
+        return {.service = ServiceId("model"),
+                .target = SoftwareVersion("v2"),
+                .phase = RolloutPhase::Shifting,
+                .order = 0x100000007,
+                .change = 3,
+                .orderedAt = m_now - milliseconds(2000),
+                .dueAt = m_now + milliseconds(10'000),
+                .oldVersions = {SoftwareVersion("v1"), SoftwareVersion()}};
+    }
+
+    VersionEvidence evidence() const
+    {
+        return {.service = ServiceId("model"),
+                .software = SoftwareVersion("v2"),
+                .routeHash = 0x123456789abcdef,
+                .order = 0x100000007,
+                .answers = 300,
+                .failures = 2,
+                .times = {0, 1, 2, 3, 290, 5}};
+    }
+
     Digest digest() const
     {
         return {.instance = "entry-1",
@@ -61,6 +86,8 @@
                                     .perSecond = 1.5,
                                     .age = milliseconds(60)},
                                    {.endpoint = EndpointId("i-5/17")}},
+                .rollouts = {rollout()},
+                .versionEvidence = {evidence()},
                 .configurationAge = milliseconds(40),
                 .endpointsAge = milliseconds(30),
                 .peerAddresses = {"10.0.0.8:7600"}};
@@ -92,6 +119,44 @@
         CPPUNIT_ASSERT(received->peerAddresses == sent.peerAddresses);
     }
 
+    void rolloutsArrive()
+    {
+        const auto received = decodeDigest(encodeDigest(digest()));
+        const RolloutState &state = received->rollouts.at(0);
+        CPPUNIT_ASSERT(state.service == rollout().service && state.target == rollout().target);
+        CPPUNIT_ASSERT(state.phase == RolloutPhase::Shifting && state.change == 3);
+        CPPUNIT_ASSERT_EQUAL(rollout().order, state.order);
+        CPPUNIT_ASSERT(state.orderedAt == rollout().orderedAt && state.dueAt == rollout().dueAt);
+        CPPUNIT_ASSERT(state.oldVersions == rollout().oldVersions);
+        const VersionEvidence &counts = received->versionEvidence.at(0);
+        CPPUNIT_ASSERT(counts.service == evidence().service);
+        CPPUNIT_ASSERT(counts.software == evidence().software);
+        CPPUNIT_ASSERT_EQUAL(evidence().routeHash, counts.routeHash);
+        CPPUNIT_ASSERT_EQUAL(evidence().order, counts.order);
+        CPPUNIT_ASSERT(counts.answers == 300 && counts.failures == 2);
+        CPPUNIT_ASSERT(counts.times == evidence().times);
+    }
+
+    // Guards against memory taken by datagrams of others, and against phases that no code knows.
+    void oddRolloutsAreSkipped()
+    {
+        Digest sent = digest();
+        sent.rollouts.assign(1000, rollout());
+        sent.rollouts[0].service = ServiceId();
+        sent.rollouts[1].target = SoftwareVersion(std::string(1000, 'v'));
+        sent.rollouts[2].oldVersions.assign(100, SoftwareVersion("v1"));
+        sent.rollouts[3].phase = static_cast<RolloutPhase>(9);
+        sent.versionEvidence.assign(1000, evidence());
+        sent.versionEvidence[0].software = SoftwareVersion(std::string(1000, 'v'));
+        sent.versionEvidence[1].failures = 5000;
+        const auto received = decodeDigest(encodeDigest(sent));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, received->rollouts.size());
+        for (const RolloutState &state : received->rollouts)
+            CPPUNIT_ASSERT(state.service == rollout().service && state.target == rollout().target);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{256}, received->versionEvidence.size());
+        CPPUNIT_ASSERT_EQUAL(300U, received->versionEvidence.at(0).failures);
+    }
+
     void truncatedDigestsAreDropped()
     {
         const std::string bytes = encodeDigest(digest());
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -32,6 +32,10 @@
         judgedStreamEnds.push_back(ground);
     }
     void recordTooLongAnswer(std::string_view /*service*/) override { }
+    void recordRolloutRun(std::string_view /*service*/, std::string_view phase) override
+    {
+        rolloutRuns.emplace_back(phase);
+    }
     void recordConfiguration(std::string_view /*source*/, Duration /*behindFor*/) override { }
     void recordAttempt(std::string_view /*service*/, AttemptResult /*result*/) override
     {
@@ -43,6 +47,7 @@
     unsigned attempts = 0;
     std::vector<ErrorKind> refusals;
     std::vector<std::string> takeUps;
+    std::vector<std::string> rolloutRuns; ///< Phases of the runs at targets.
     std::vector<StreamEndGround> judgedStreamEnds;
 };
 
