--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -74,6 +74,11 @@
         fleet.onDemandUse = table.number("on_demand_use", 0.01, 1, fleet.onDemandUse);
         fleet.slotUse = table.number("slot_use", 0.01, 1, fleet.slotUse);
     });
+    reader.readOptionalTable("rollout", [&settings](TableReader &table) {
+        settings.limits.rollout = {.exposureShare = table.number("exposure_share", 0, 1),
+                                   .exposureSlack = table.number("exposure_slack", 0, maxRequests),
+                                   .rollbackTime = fromMs(table.number("rollback_ms", 0, maxMs))};
+    });
     settings.limits.heartbeatInterval =
             fromSeconds(reader.number("heartbeat_ms", 1, maxMs, 1200) / 1000);
     settings.limits.drainTime = fromSeconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -4,6 +4,9 @@
 #include "servers/allowance/allowance_ledger.h"
 #include "servers/fleet/work_meter.h"
 #include "servers/retry/repeat_budget.h"
+#include "servers/rollout/rollout_limits.h"
+
+#include <optional>
 
 namespace monsoonsail {
 
@@ -24,6 +27,7 @@
     /// Time from the end of a metering window until its report is due.
     Duration usageReportDeadline = std::chrono::seconds(10);
     Duration dutyLease = std::chrono::milliseconds(3000);
+    std::optional<RolloutLimits> rollout; ///< Empty where there are no roll-outs.
     bool fencingNumbersAreChecked = true; ///< Whether the platform rejects old fencing numbers.
 };
 
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -84,6 +84,8 @@
          << "[usage]\nwindow_s = " << m_settings.usageWindow.count()
          << "\ndue_s = " << m_settings.usageDue.count() << "\n"
          << "[allowances]\nwindow_s = 8\nexcess = 0.1\nslack = 100\n";
+    if (m_settings.hasRollouts)
+        file << "[rollout]\nexposure_share = 0.1\nexposure_slack = 50\nrollback_ms = 5000\n";
 }
 
 DaemonProcess::~DaemonProcess()
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -16,6 +16,7 @@
     std::chrono::milliseconds drainTime{2000};
     std::chrono::seconds usageWindow{1};
     std::chrono::seconds usageDue{4};
+    bool hasRollouts = false;
 };
 
 /// A monsoonsaild process, its settings file and its log. It can be restarted. The process ends at
