--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -74,6 +74,11 @@
                                    .Name("monsoonsail_platform_calls_total")
                                    .Help("Calls to the platform, by kind and topic or duty")
                                    .Register(m_registry))
+    , m_rolloutPhaseFamily(prometheus::BuildCounter()
+                                   .Name("monsoonsail_rollout_phases_total")
+                                   .Help("Changes of phase of roll-outs that this instance has "
+                                         "decided, by service and phase")
+                                   .Register(m_registry))
     , m_configurationDelayFamily(prometheus::BuildHistogram()
                                          .Name("monsoonsail_configuration_delay_seconds")
                                          .Help("Time for which peers had a later configuration "
@@ -208,6 +213,17 @@
             .Observe(toSeconds(behindFor));
 }
 
+void PrometheusMetrics::recordRolloutPhase(std::string_view service, std::string_view phase)
+{
+    findOrAddSeries(
+            m_rolloutPhases, service, phase,
+            [&]() -> auto & {
+                return m_rolloutPhaseFamily.Add(
+                        {{"service", std::string(service)}, {"phase", std::string(phase)}});
+            })
+            .Increment();
+}
+
 void PrometheusMetrics::recordLoopDelay(Duration delay)
 {
     m_loopDelay.Observe(toSeconds(delay));
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -32,6 +32,7 @@
     void recordPlatformCall(std::string_view call, std::string_view subject) override;
     void recordEndpointUpdate(Duration age) override;
     void recordConfiguration(std::string_view source, Duration behindFor) override;
+    void recordRolloutPhase(std::string_view service, std::string_view phase) override;
     /// Records how late a periodic task of the control thread ran.
     void recordLoopDelay(Duration delay);
 
@@ -57,6 +58,7 @@
     Counters &m_judgedStreamEndFamily;
     Counters &m_tooLongAnswerFamily;
     Counters &m_platformCallFamily;
+    Counters &m_rolloutPhaseFamily;
     Histograms &m_configurationDelayFamily;
     prometheus::Histogram &m_endpointUpdateAge;
     prometheus::Histogram &m_loopDelay;
@@ -69,6 +71,7 @@
     SeriesMap<prometheus::Counter> m_judgedStreamEnds;
     SeriesMap<prometheus::Counter> m_tooLongAnswers;
     SeriesMap<prometheus::Counter> m_platformCalls;
+    SeriesMap<prometheus::Counter> m_rolloutPhases;
     SeriesMap<prometheus::Histogram> m_configurationDelays;
     std::map<std::string, prometheus::Gauge *> m_gauges;
 };
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -41,6 +41,8 @@
     /// Records a configuration that took effect. `source` says where its text came from;
     /// `behindFor` is the time for which peers had a later one than this instance.
     virtual void recordConfiguration(std::string_view source, Duration behindFor) = 0;
+    /// Records that this instance, as holder of the duties, has changed the phase of a roll-out.
+    virtual void recordRolloutPhase(std::string_view service, std::string_view phase) = 0;
 };
 
 } // namespace monsoonsail
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -33,6 +33,10 @@
     }
     void recordTooLongAnswer(std::string_view /*service*/) override { }
     void recordConfiguration(std::string_view /*source*/, Duration /*behindFor*/) override { }
+    void recordRolloutPhase(std::string_view /*service*/, std::string_view phase) override
+    {
+        rolloutPhases.emplace_back(phase);
+    }
     void recordAttempt(std::string_view /*service*/, AttemptResult /*result*/) override
     {
         ++attempts;
@@ -43,6 +47,7 @@
     unsigned attempts = 0;
     std::vector<ErrorKind> refusals;
     std::vector<std::string> takeUps;
+    std::vector<std::string> rolloutPhases;
     std::vector<StreamEndGround> judgedStreamEnds;
 };
 
