Count only the engines in service during a roll-out

Cause: a second set of engines looked like a surplus, and the change of sets like a loss: engines would be given back or ordered again. Change: FleetManager counts the versions that FleetVersions names, orders no decrease while a roll-out runs, and lets its orders stand for the other set when that is counted. A rolled-back version that serves alone counts. Result: FleetTest 21 passed; five new cases, each red without its rule.

--- a/servers/fleet/fleet_manager.cpp
+++ b/servers/fleet/fleet_manager.cpp
@@ -49,6 +49,7 @@
         m_orders.clear();
         m_targets.clear();
         m_inheritedFleets.clear();
+        m_ready.clear();
     }
     if (m_fencingNumber == 0 || m_now() < m_nextPlanAt)
         return;
@@ -67,8 +68,9 @@
 void FleetManager::manageService(const Service &service, std::optional<EnginesNeeded> needed)
 {
     const Instant now = m_now();
-    FleetDemand demand{
-            .limits = &*service.scaling, .needed = needed, .ready = readyEngines(service.name)};
+    const ReadyEngines ready = readyEngines(service.name);
+    noteCounted(service, ready);
+    FleetDemand demand{.limits = &*service.scaling, .needed = needed, .ready = ready.counted};
     demand.inherited = inheritedFleet(service.name, demand.ready);
     for (auto &[key, order] : m_orders) {
         if (key.first != service.name)
@@ -114,15 +116,20 @@
 {
     const Instant now = m_now();
     FleetPlan targets;
+    // While two sets run, a lower order might take engines of either one away.
+    const bool keepsAll = isRollingOut(service);
     for (const auto &[pool, count] : plan) {
         // A new holder takes the reclaimable engines that it finds for the target of its
         // predecessor. Those on demand cost too much to keep them until it knows the load better.
-        const unsigned found = pool.second == Market::Reclaimable ? countOf(ready, pool) : 0;
+        const bool isTaken = pool.second == Market::Reclaimable || keepsAll;
+        const unsigned found = isTaken ? countOf(ready, pool) : 0;
         const auto [entry, isNew] =
                 m_targets.try_emplace({service, pool}, Target{.count = std::max(count, found)});
         Target &target = entry->second;
         if (count >= target.count) {
             target = {.count = count};
+        } else if (keepsAll) {
+            target.lowerSince = now;
         } else {
             target.lowerSince = std::min(target.lowerSince, now);
             if (target.lowerSince + decreaseDelay(pool.second) <= now)
@@ -158,19 +165,57 @@
     return fleet;
 }
 
-FleetPlan FleetManager::readyEngines(const ServiceId &service) const
+FleetManager::ReadyEngines FleetManager::readyEngines(const ServiceId &service) const
 {
-    FleetPlan ready;
+    ReadyEngines ready;
+    FleetPlan ignored;
+    std::map<SoftwareVersion, bool> isCounted;
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         if (endpoint.listing.service != service || endpoint.state != EndpointState::Ready)
             continue;
         const Market market =
                 endpoint.listing.isReclaimable ? Market::Reclaimable : Market::OnDemand;
-        ++ready[{endpoint.listing.zone, market}];
+        const SoftwareVersion &software = endpoint.listing.software;
+        const auto [entry, isNew] = isCounted.try_emplace(software, true);
+        if (isNew && m_versions != nullptr)
+            entry->second = m_versions->isServing(service, software);
+        ++(entry->second ? ready.counted : ignored)[{endpoint.listing.zone, market}];
+        (entry->second ? ready.countedVersions : ready.ignoredVersions).insert(software);
     }
+    // A version that was rolled back may have been deployed by other means since.
+    if (ready.counted.empty() && !isRollingOut(service))
+        return {.counted = ignored, .countedVersions = ready.ignoredVersions};
     return ready;
 }
 
+bool FleetManager::isRollingOut(const ServiceId &service) const
+{
+    return m_versions != nullptr && m_versions->isRollingOut(service);
+}
+
+void FleetManager::noteCounted(const Service &service, const ReadyEngines &ready)
+{
+    const auto haveCommon = [](const std::set<SoftwareVersion> &some,
+                               const std::set<SoftwareVersion> &others) {
+        return std::ranges::any_of(some, [&others](const SoftwareVersion &version) {
+            return others.contains(version);
+        });
+    };
+    const ReadyEngines before = std::exchange(m_ready[service.name], ready);
+    if (!haveCommon(before.countedVersions, ready.ignoredVersions)
+        && !haveCommon(before.ignoredVersions, ready.countedVersions))
+        return;
+    // The engines that are counted now have been started for the same orders. None of the others
+    // was lost.
+    const Instant repeatAt = m_now() + service.scaling->bootTime + bootMargin;
+    for (auto &[key, order] : m_orders) {
+        if (key.first != service.name || order.isRefused)
+            continue;
+        order.lastReady = countOf(ready.counted, key.second);
+        order.repeatAt = std::max(order.repeatAt, repeatAt);
+    }
+}
+
 void FleetManager::orderEngines(const OrderKey &key, unsigned count, const ScalingLimits &limits)
 {
     const Instant now = m_now();
--- a/servers/fleet/fleet_manager.h
+++ b/servers/fleet/fleet_manager.h
@@ -4,6 +4,7 @@
 #include "core/instant.h"
 #include "servers/endpoints/endpoint_registry.h"
 #include "servers/fleet/fleet_planner.h"
+#include "servers/fleet/fleet_versions.h"
 #include "servers/ports/decision_log.h"
 #include "servers/ports/duty_port.h"
 #include "servers/site/site_configuration.h"
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace monsoonsail {
@@ -26,6 +28,8 @@
                  DutyPort &duties, std::function<Instant()> now, std::function<void()> onFenced,
                  DecisionLog &decisions);
 
+    /// Sets which versions count, from then on; all do before. `versions` must outlive the manager.
+    void setVersions(const FleetVersions *versions) { m_versions = versions; }
     /// Plans and orders engines; called several times a second. `fencingNumber` is 0 while this
     /// instance does not hold the duties. `needed` lacks services whose load is not known yet.
     void advance(std::uint64_t fencingNumber, const SiteConfiguration &configuration,
@@ -51,7 +55,18 @@
     using OrderKey = std::pair<ServiceId, EnginePool>;
 
     void manageService(const Service &service, std::optional<EnginesNeeded> needed);
-    FleetPlan readyEngines(const ServiceId &service) const;
+    /// A set of engines of one service.
+    struct ReadyEngines
+    {
+        FleetPlan counted;
+        std::set<SoftwareVersion> countedVersions;
+        std::set<SoftwareVersion> ignoredVersions; ///< Of ready engines that are not counted.
+    };
+
+    ReadyEngines readyEngines(const ServiceId &service) const;
+    bool isRollingOut(const ServiceId &service) const;
+    /// Lets the orders stand for another set of engines if that is counted from now on.
+    void noteCounted(const Service &service, const ReadyEngines &ready);
     const InheritedFleet &inheritedFleet(const ServiceId &service, const FleetPlan &ready);
     FleetPlan delayDecreases(const ServiceId &service, const FleetPlan &plan,
                              const FleetPlan &ready);
@@ -71,6 +86,8 @@
     std::map<OrderKey, Target> m_targets;
     std::map<ServiceId, InheritedFleet> m_inheritedFleets;
     Instant m_nextPlanAt;
+    const FleetVersions *m_versions = nullptr;
+    std::map<ServiceId, ReadyEngines> m_ready; ///< At the last plan.
 };
 
 } // namespace monsoonsail
--- a/tests/servers/fleet_test.cpp
+++ b/tests/servers/fleet_test.cpp
@@ -39,6 +39,20 @@
     std::vector<EngineOrder> orders;
 };
 
+/// The versions of a roll-out from v1 to v2.
+class FakeVersions : public FleetVersions
+{
+public:
+    bool isServing(const ServiceId & /*service*/, const SoftwareVersion &software) const override
+    {
+        return software != ignored;
+    }
+    bool isRollingOut(const ServiceId & /*service*/) const override { return isRunning; }
+
+    SoftwareVersion ignored;
+    bool isRunning = false;
+};
+
 } // namespace
 
 /// Tests that enough engines take work, also when engines are reclaimed, and that no more are paid
@@ -62,12 +76,18 @@
     CPPUNIT_TEST(refusedOrderIsRepeatedLater);
     CPPUNIT_TEST(refusedOrderIsNotRepeatedWhileTheLoadGrows);
     CPPUNIT_TEST(newDutyHolderRepeatsAllOrders);
+    CPPUNIT_TEST(rollOutOrdersAndReleasesNoEngines);
+    CPPUNIT_TEST(rollBackReleasesNoEngines);
+    CPPUNIT_TEST(lossDuringARollOutIsReplaced);
+    CPPUNIT_TEST(newDutyHolderReleasesNoEnginesDuringARollOut);
+    CPPUNIT_TEST(versionThatWasRolledBackCountsIfItServesAlone);
     CPPUNIT_TEST_SUITE_END();
 
     const ServiceId m_service{"model"};
     Instant m_now = instantFromMicroseconds(1'000'000'000);
     EndpointRegistry m_endpoints;
     FakeCloud m_cloud;
+    FakeVersions m_versions;
     RecordingLog m_log;
     std::unique_ptr<FleetManager> m_manager;
     std::unique_ptr<SiteConfiguration> m_configuration;
@@ -84,18 +104,53 @@
                 .zonePrices = {{ZoneId("a"), 1.0}, {ZoneId("b"), 0.8}, {ZoneId("c"), 0.9}}};
     }
 
-    void listEngines(const std::string &zone, Market market, int count)
+    void listEngines(const std::string &zone, Market market, int count,
+                     const std::string &version = "v1")
     {
         for (int index = 0; index < count; ++index) {
             m_endpoints.applyListing({.instance = "i" + std::to_string(++m_lastInstance),
                                       .startedMs = 1,
                                       .service = m_service,
+                                      .software = SoftwareVersion(version),
                                       .zone = ZoneId(zone),
                                       .isReclaimable = market == Market::Reclaimable},
                                      m_now);
         }
     }
 
+    void listInAllZones(int count, const std::string &version)
+    {
+        for (const std::string zone : {"a", "b", "c"})
+            listEngines(zone, Market::Reclaimable, count, version);
+    }
+
+    void removeVersion(const std::string &version)
+    {
+        std::vector<EndpointId> leaving;
+        for (const auto &[id, endpoint] : m_endpoints.all()) {
+            if (endpoint.listing.software == SoftwareVersion(version))
+                leaving.push_back(id);
+        }
+        for (const EndpointId &id : leaving)
+            m_endpoints.markLeaving(id, m_now);
+    }
+
+    /// Begins a roll-out with a second set of engines, after the fleet has settled. One of them
+    /// starts later.
+    void beginRollOut()
+    {
+        m_manager->setVersions(&m_versions);
+        m_needed = {.reclaimable = 8, .minimum = 6};
+        listInAllZones(4, "v1");
+        advance(seconds(8));
+        m_cloud.orders.clear();
+        m_versions.ignored = SoftwareVersion("v2");
+        m_versions.isRunning = true;
+        listInAllZones(3, "v2");
+        listEngines("a", Market::Reclaimable, 1, "v2");
+        listEngines("b", Market::Reclaimable, 1, "v2");
+    }
+
     void removeZone(const std::string &zone, Market market)
     {
         std::vector<EndpointId> leaving;
@@ -372,6 +427,76 @@
         advance(seconds(1));
         CPPUNIT_ASSERT(m_cloud.orders.size() >= 2 * orders);
     }
+
+    // Guards against releases on account of the second set, and against orders for engines that are
+    // not counted any more, but were not lost.
+    void rollOutOrdersAndReleasesNoEngines()
+    {
+        beginRollOut();
+        // Less load must not take engines away while it is open which set stays.
+        m_needed = {.reclaimable = 6, .minimum = 4};
+        advance(seconds(12));
+        m_needed = {.reclaimable = 8, .minimum = 6};
+        m_versions.ignored = SoftwareVersion("v1");
+        advance(seconds(3));
+        listEngines("c", Market::Reclaimable, 1, "v2");
+        m_versions.isRunning = false;
+        // The first set drains.
+        advance(seconds(2));
+        removeVersion("v1");
+        advance(seconds(20));
+        CPPUNIT_ASSERT(m_cloud.orders.empty());
+    }
+
+    // Guards against counting the set that drains as ready.
+    void rollBackReleasesNoEngines()
+    {
+        beginRollOut();
+        advance(seconds(4));
+        m_versions.isRunning = false;
+        advance(seconds(6));
+        removeVersion("v2");
+        advance(seconds(20));
+        CPPUNIT_ASSERT(m_cloud.orders.empty());
+    }
+
+    // Guards against a shortage that the second set hides.
+    void lossDuringARollOutIsReplaced()
+    {
+        beginRollOut();
+        std::vector<EndpointId> lost;
+        for (const auto &[id, endpoint] : m_endpoints.all()) {
+            if (endpoint.listing.zone == ZoneId("a")
+                && endpoint.listing.software == SoftwareVersion("v1"))
+                lost.push_back(id);
+        }
+        for (const EndpointId &id : lost)
+            m_endpoints.markLeaving(id, m_now);
+        advance(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(4U, *orderedCount("a", Market::Reclaimable));
+    }
+
+    // Guards against a new holder that takes both sets for too many engines.
+    void newDutyHolderReleasesNoEnginesDuringARollOut()
+    {
+        beginRollOut();
+        m_fencingNumber = 7;
+        m_needed = {.reclaimable = 4, .minimum = 3};
+        advance(seconds(14));
+        for (const std::string zone : {"a", "b", "c"})
+            CPPUNIT_ASSERT_EQUAL(4U, *orderedCount(zone, Market::Reclaimable));
+    }
+
+    // Guards against a whole fleet that is ordered again since its version was once rolled back.
+    void versionThatWasRolledBackCountsIfItServesAlone()
+    {
+        beginRollOut();
+        listEngines("c", Market::Reclaimable, 1, "v2");
+        m_versions.isRunning = false;
+        removeVersion("v1");
+        advance(seconds(10));
+        CPPUNIT_ASSERT(m_cloud.orders.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
