--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -1,6 +1,7 @@
 #include "main/monsoonsaild/control_plane.h"
 
 #include "main/monsoonsaild/metrics_page.h"
+#include "main/monsoonsaild/rollout_traffic_view.h"
 #include "servers/fleet/spread_fleet_planner.h"
 
 #include <algorithm>
@@ -55,8 +56,10 @@
     , m_httpClient(loop)
     , m_storeClient(m_httpClient, loop, settings.storeAddress, m_metrics, m_decisionLog)
     , m_configurationFeed(m_context, m_siteCodec)
+    , m_rolloutOrders(m_siteCodec, m_decisionLog)
+    , m_operatorRecords({&m_configurationFeed, &m_rolloutOrders})
     , m_configurationFollower(std::string(m_siteCodec.configurationTopic()), configurationTiming,
-                              m_storeClient, m_configurationFeed, makeScheduler(), m_decisionLog)
+                              m_storeClient, m_operatorRecords, makeScheduler(), m_decisionLog)
     , m_configurationKeeper(m_context, m_configurationFeed, m_storeClient,
                             [this] { return m_loop.now(); })
     , m_configurationClient(m_httpClient)
@@ -87,6 +90,10 @@
     , m_fleetManager(
               std::make_unique<SpreadFleetPlanner>(), m_context.endpoints, m_dutyClient,
               [this] { return m_loop.now(); }, [this] { m_dutyElection.onFenced(); }, m_decisionLog)
+    , m_rolloutView(makeRolloutTrafficView(m_context))
+    , m_rolloutVersions(*m_rolloutView)
+    , m_rolloutDecider(settings.instance)
+    , m_rolloutController(makeRolloutPorts())
     , m_allowanceJournal(
               m_context.allowances, m_storeClient, [this] { return m_loop.now(); }, m_decisionLog)
 { }
@@ -132,6 +139,7 @@
     }
     m_core.setDeadlineHandler([this] { armDeadlineTimer(); });
     m_configurationFeed.setNewsHandler([this] { sendDigest(); });
+    m_rolloutController.setNewsHandler([this] { sendDigest(); });
     m_allowanceJournal.recover();
     m_configurationFollower.start();
     m_endpointExchange.start();
@@ -320,6 +328,7 @@
     m_instanceDiscovery.advance();
     m_dutyElection.advance(m_mesh);
     m_usageReporter.advance(m_mesh);
+    advanceRollouts();
     manageFleet();
     // Readers write the journal, since they are known within a second of a start, whereas the
     // election of the holder of the duties takes seconds.
@@ -329,41 +338,10 @@
     checkStop();
 }
 
-void ControlPlane::manageFleet()
-{
-    if (!m_context.configuration)
-        return;
-    for (const Service &service : m_context.configuration->services()) {
-        if (!service.engine)
-            continue;
-        double running = 0;
-        for (const auto &[id, endpoint] : m_context.endpoints.all()) {
-            if (endpoint.listing.service == service.name)
-                running += m_context.enginePlacer->runningRequests(id);
-        }
-        m_context.workMeter.recordRunningRequests(service.name, running,
-                                                  service.engine->batchSlots);
-    }
-    m_context.workMeter.measure(m_loop.now());
-    m_fleetManager.advance(m_dutyElection.fencingNumber(), *m_context.configuration,
-                           m_context.workMeter.enginesNeeded());
-}
-
-void ControlPlane::updateEndpointLimits()
-{
-    // Silent peers keep their shares for a while, since they may only be cut off from this
-    // instance.
-    std::vector<std::string> peers;
-    for (const auto &[name, peer] : m_mesh.peers())
-        peers.push_back(name);
-    m_context.endpointLimits.shares().update(m_settings.instance, peers, m_mesh.clockCorrection());
-    m_context.endpointLimits.expire(m_loop.now());
-}
-
 void ControlPlane::updateConfigurationReading()
 {
     const bool isReader = m_endpointExchange.isReader();
-    m_configurationFollower.setActive(isReader);
+    m_configurationFollower.setActive(isReader || needsOrders());
     m_configurationFollower.setPassiveInterval(
             m_mesh.scaledInterval(EndpointExchange::passiveInterval));
     m_configurationFeed.updateFromPeers(m_mesh, isReader, m_loop.now());
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -20,13 +20,18 @@
 #include "servers/mesh/mesh.h"
 #include "servers/mesh/process_pause_detector.h"
 #include "servers/ports/traffic_listener.h"
+#include "servers/rollout/rollout_controller.h"
+#include "servers/rollout/rollout_decider.h"
+#include "servers/rollout/rollout_versions.h"
 #include "servers/serving/serving_core.h"
 #include "servers/site/configuration_feed.h"
 #include "servers/site/configuration_fetcher.h"
 #include "servers/site/configuration_keeper.h"
+#include "servers/store/topic_fan_out.h"
 #include "servers/store/topic_follower.h"
 #include "servers/versions/version_directory.h"
 
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -75,6 +80,10 @@
     void manageFleet();
     void updateEndpointLimits();
     void updateConfigurationReading();
+    RolloutController::Ports makeRolloutPorts();
+    /// Whether this instance has to follow the operator's orders, whoever reads for the others.
+    bool needsOrders() const;
+    void advanceRollouts();
     Duration digestInterval() const;
     /// Broadcasts a digest and schedules the next one.
     void sendDigest();
@@ -99,6 +108,8 @@
     platform::StoreClient m_storeClient;
     platform::StoreSiteCodec m_siteCodec;
     ConfigurationFeed m_configurationFeed;
+    RolloutOrders m_rolloutOrders;
+    TopicFanOut m_operatorRecords;
     TopicFollower m_configurationFollower;
     ConfigurationKeeper m_configurationKeeper;
     ConfigurationClient m_configurationClient;
@@ -113,6 +124,10 @@
     DutyElection m_dutyElection;
     UsageReporter m_usageReporter;
     FleetManager m_fleetManager;
+    std::unique_ptr<RolloutView> m_rolloutView;
+    RolloutVersions m_rolloutVersions;
+    RolloutDecider m_rolloutDecider;
+    RolloutController m_rolloutController;
     AllowanceJournal m_allowanceJournal;
     std::optional<LocalServer> m_readyServer;
     std::optional<LocalServer> m_peerServer;
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -17,6 +17,17 @@
     return m_mesh.digestInterval(m_endpointExchange.isReader());
 }
 
+void ControlPlane::updateEndpointLimits()
+{
+    // Silent peers keep their shares for a while, since they may only be cut off from this
+    // instance.
+    std::vector<std::string> peers;
+    for (const auto &[name, peer] : m_mesh.peers())
+        peers.push_back(name);
+    m_context.endpointLimits.shares().update(m_settings.instance, peers, m_mesh.clockCorrection());
+    m_context.endpointLimits.expire(m_loop.now());
+}
+
 void ControlPlane::sendDigest()
 {
     m_loop.timers().cancel(m_digestTimer);
