--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -36,6 +36,14 @@
     , usageMeter(incarnation, limits.usageWindow)
     , rolloutTraffic(log, metrics, stableHash(incarnation, rolloutSeed))
     , rolloutEvidence(rolloutTraffic)
-{ }
+{
+    applyRolloutLimits();
+}
+
+void ServingContext::applyRolloutLimits()
+{
+    rolloutTraffic.setExposureShare(limits.rollout ? std::optional(limits.rollout->exposureShare)
+                                                   : std::nullopt);
+}
 
 } // namespace monsoonsail
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -55,6 +55,8 @@
     {
         return now - configurationBehindSince.value_or(now);
     }
+    /// Passes the limits of roll-outs on. Call after a change of the limits.
+    void applyRolloutLimits();
     /// Whether the list of endpoints has been read.
     bool knowsEndpoints() const { return endpointsAsOf != Instant(); }
     /// Returns the placer for the endpoints of a service.
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -37,6 +37,10 @@
         rolloutRuns.emplace_back(phase);
     }
     void recordConfiguration(std::string_view /*source*/, Duration /*behindFor*/) override { }
+    void recordRolloutPhase(std::string_view /*service*/, std::string_view phase) override
+    {
+        rolloutPhases.emplace_back(phase);
+    }
     void recordAttempt(std::string_view /*service*/, AttemptResult /*result*/) override
     {
         ++attempts;
@@ -48,6 +52,7 @@
     std::vector<ErrorKind> refusals;
     std::vector<std::string> takeUps;
     std::vector<std::string> rolloutRuns; ///< Phases of the runs at targets.
+    std::vector<std::string> rolloutPhases;
     std::vector<StreamEndGround> judgedStreamEnds;
 };
 
