Test a daemon among clients that violate the limits

HostileCallerProcessTest plays a small crowd against a real daemon with the memory of the smallest machine (memory_mb = 120) and 256 descriptors. Each test checks that the process lives, that its peak of memory is below 120 MB and its open descriptors below three quarters of the limit, and that an ordinary request is answered. The bounds follow from these settings; crowd and bounds stay.

--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -80,6 +81,8 @@
          << "store = \"" << platform << "\"\nduties = \"" << platform << "\"\n"
          << "heartbeat_ms = 1200\ndrain_ms = " << m_settings.drainTime.count()
          << "\nduty_lease_ms = 3000\nstop_grace_s = 8\n"
+         << (m_settings.memoryMb == 0 ? ""
+                                      : "memory_mb = " + std::to_string(m_settings.memoryMb) + "\n")
          << "[repeats]\nratio = 0.2\nslack = 50\nwindow_s = 10\n"
          << "[usage]\nwindow_s = " << m_settings.usageWindow.count()
          << "\ndue_s = " << m_settings.usageDue.count() << "\n"
@@ -106,6 +109,11 @@
     if (m_processId == 0) {
         // Leaves no daemon behind if the test is killed.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (m_settings.maxDescriptors > 0) {
+            const rlimit limit{.rlim_cur = m_settings.maxDescriptors,
+                               .rlim_max = m_settings.maxDescriptors};
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::execl(program.c_str(), program.c_str(), argument.c_str(), nullptr);
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -16,6 +16,8 @@
     std::chrono::milliseconds drainTime{2000};
     std::chrono::seconds usageWindow{1};
     std::chrono::seconds usageDue{4};
+    unsigned memoryMb = 0;       ///< Memory in its settings; 0 for the default.
+    unsigned maxDescriptors = 0; ///< Limit of the process; 0 for that of the test.
 };
 
 /// A monsoonsaild process, its settings file and its log. It can be restarted. The process ends at
@@ -46,6 +48,7 @@
     pid_t processId() const { return m_processId; }
     const DaemonSettings &settings() const { return m_settings; }
     unsigned callerPort() const { return m_callerPort; }
+    unsigned readyPort() const { return m_readyPort; }
     unsigned metricsPort() const { return m_metricsPort; }
     unsigned digestPort() const { return m_digestPort; }
     /// Returns the log of all runs of the daemon.
