Count chunk extensions and trailers of requests towards the header

A request's header, extensions, trailers and what can't be parsed yet now share MaxHeaderBytes; beyond it the caller gets 431.

--- a/drivers/http/message_reader.cpp
+++ b/drivers/http/message_reader.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::string_view transferEncoding = "Transfer-Encoding";
+/// Longest chunk size without an extension, with the line ends before and after it.
+constexpr std::size_t maxChunkSizeBytes = 20;
+/// Of a header line, beside its name and value.
+constexpr std::size_t fieldSeparatorBytes = 4;
 
 std::string_view toStringView(boost::beast::string_view text)
 {
@@ -22,6 +26,7 @@
 
 template <bool isRequest>
 MessageReader<isRequest>::MessageReader(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
+    : m_maxHeaderBytes(maxHeaderBytes)
 {
     this->eager(true);
     this->header_limit(maxHeaderBytes);
@@ -38,8 +43,12 @@
         const std::size_t count = this->put(
                 boost::asio::const_buffer(input.data() + used, input.size() - used), parserError);
         used += count;
-        if (needsMoreInput(parserError))
-            break;
+        if (needsMoreInput(parserError)) {
+            // Beast waits for the end of a chunk header or of all trailers, however long they are.
+            if (!isRequest || !hasTooMuchFraming(input.size() - used))
+                break;
+            parserError = boost::beast::http::error::header_limit;
+        }
         if (parserError) {
             m_failed = true;
             error = parserError;
@@ -67,6 +76,21 @@
     }
 }
 
+template <bool isRequest>
+bool MessageReader<isRequest>::hasTooMuchFraming(std::size_t unparsedBytes) const
+{
+    return m_isHeadComplete
+            && m_framingBytes + unparsedBytes > m_maxHeaderBytes + maxChunkSizeBytes;
+}
+
+template <bool isRequest>
+void MessageReader<isRequest>::addFraming(std::size_t bytes, ErrorCode &error)
+{
+    m_framingBytes += bytes;
+    if (isRequest && hasTooMuchFraming(0))
+        error = boost::beast::http::error::header_limit;
+}
+
 template <bool isRequest>
 std::uint64_t MessageReader<isRequest>::declaredBodyBytes() const
 {
@@ -82,6 +106,7 @@
     if constexpr (isRequest) {
         m_head.method = toStringView(methodText);
         m_head.target = toStringView(target);
+        m_framingBytes += m_head.method.size() + m_head.target.size();
     }
 }
 
@@ -103,8 +128,9 @@
 template <bool isRequest>
 void MessageReader<isRequest>::on_field_impl(boost::beast::http::field /*name*/,
                                              StringView nameText, StringView value,
-                                             ErrorCode & /*error*/)
+                                             ErrorCode &error)
 {
+    addFraming(nameText.size() + value.size() + fieldSeparatorBytes, error);
     // Beast also reports the trailers of a chunked body as fields. They are dropped, so that
     // unchecked fields are not added to the header.
     if (!m_isHeadComplete)
@@ -139,10 +165,11 @@
 }
 
 template <bool isRequest>
-void MessageReader<isRequest>::on_chunk_header_impl(std::uint64_t /*size*/,
-                                                    StringView /*extensions*/,
-                                                    ErrorCode & /*error*/)
-{ }
+void MessageReader<isRequest>::on_chunk_header_impl(std::uint64_t /*size*/, StringView extensions,
+                                                    ErrorCode &error)
+{
+    addFraming(extensions.size(), error);
+}
 
 template <bool isRequest>
 std::size_t MessageReader<isRequest>::on_chunk_body_impl(std::uint64_t /*remain*/, StringView body,
--- a/drivers/http/message_reader.h
+++ b/drivers/http/message_reader.h
@@ -12,7 +12,9 @@
 
 namespace monsoonsail {
 
-/// Parses one HTTP/1.1 message incrementally. The body is passed to a sink in pieces.
+/// Parses one HTTP/1.1 message incrementally. The body is passed to a sink in pieces. The chunk
+/// extensions and the trailers of a request count towards the limit of its header, as does input
+/// that can't be parsed yet.
 template <bool isRequest>
 class MessageReader : private boost::beast::http::basic_parser<isRequest>
 {
@@ -65,8 +67,15 @@
                                    ErrorCode &error) override;
     void on_finish_impl(ErrorCode &error) override;
 
+    /// Whether the header, extensions and trailers, and `unparsedBytes`, exceed their limit.
+    bool hasTooMuchFraming(std::size_t unparsedBytes) const;
+    /// Counts bytes of extensions or trailers.
+    void addFraming(std::size_t bytes, ErrorCode &error);
+
+    const std::uint32_t m_maxHeaderBytes;
     Head m_head;
     BodySink m_bodySink;
+    std::size_t m_framingBytes = 0; ///< Of the header, extensions and trailers.
     bool m_isHeadComplete = false;
     bool m_failed = false;
 };
--- a/tests/drivers/message_reader_test.cpp
+++ b/tests/drivers/message_reader_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(trailersAreNotAddedToTheHeader);
     CPPUNIT_TEST(invalidInputIsRejected);
     CPPUNIT_TEST(limitsAreEnforced);
+    CPPUNIT_TEST(framingCountsTowardsTheHeader);
     CPPUNIT_TEST(responseWithoutLengthEndsAtConnectionClose);
     CPPUNIT_TEST(truncatedResponseIsIncomplete);
     CPPUNIT_TEST(numberThatIsNoStatusIsRejected);
@@ -183,6 +184,21 @@
         expectRejected("POST / HTTP/1.1\r\nContent-Length: " + tooLong + "\r\n\r\n");
     }
 
+    // Beast waits for the end of a chunk header and of all trailers without any limit.
+    void framingCountsTowardsTheHeader()
+    {
+        const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string extension = "1;" + std::string(maxHeaderBytes / 4, 'e') + "\r\nx\r\n";
+        const std::string trailer = "X: " + std::string(maxHeaderBytes / 4, 't') + "\r\n";
+        expectRejected(head + "1;" + std::string(maxHeaderBytes, 'e'));
+        expectRejected(head + std::string(maxHeaderBytes, '0'));
+        expectRejected(head + "0\r\nX: " + std::string(maxHeaderBytes, 't'));
+        expectRejected(head + extension + extension + extension + extension);
+        expectRejected(head + "0\r\n" + trailer + trailer + trailer + trailer);
+        forEverySplit(head + extension + "0\r\n" + trailer + "\r\n",
+                      [](const Parsed &parsed) { CPPUNIT_ASSERT(parsed.isComplete); });
+    }
+
     void responseWithoutLengthEndsAtConnectionClose()
     {
         HttpResponseReader reader(maxHeaderBytes, maxBodyBytes);
