--- a/drivers/http/http_transfer.cpp
+++ b/drivers/http/http_transfer.cpp
@@ -10,6 +10,8 @@
 namespace {
 constexpr long connectTimeoutMs = 2'000;
 constexpr int statusOk = 200;
+/// libcurl keeps all lines of a head, however many there are.
+constexpr std::size_t maxHeadBytes = 64UL * 1024;
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpCall call, const Clock &clock)
@@ -101,6 +103,9 @@
 
 bool HttpTransfer::receiveHeaderLine(std::string_view line)
 {
+    m_headBytes += line.size();
+    if (m_headBytes > maxHeadBytes)
+        return false;
     long status = 0;
     curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
     // libcurl accepts any three digits.
--- a/drivers/http/http_transfer.h
+++ b/drivers/http/http_transfer.h
@@ -47,6 +47,7 @@
     curl_slist *m_headers = nullptr;
     std::string m_body;
     Instant m_progressDeadline;
+    std::size_t m_headBytes = 0; ///< Of the response, with interim ones and trailers.
     bool m_abortedBeforeSending = false;
     bool m_hasInvalidStatus = false;
     bool m_isHeadComplete = false; ///< Whether the blank line after the response's head arrived.
--- a/tests/drivers/curl_client_test.cpp
+++ b/tests/drivers/curl_client_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(wholeHeadIsAnAnswer);
     CPPUNIT_TEST(numberThatIsNoStatusIsNoAnswer);
     CPPUNIT_TEST(partOfAnAnswerDuringAnUploadIsNoAnswer);
+    CPPUNIT_TEST(answerWithoutEndIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
     RawListener m_server;
@@ -101,6 +102,33 @@
     void resetInAHeadIsNoAnswer() { expectNoAnswer(true); }
 
     // After an interim response, and with or without a body that says where it ends.
+    // libcurl would keep all header lines, and all bytes of a body until the deadline.
+    void answerWithoutEndIsGivenUp()
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::vector<std::pair<std::string, std::string>> floods{
+                {"HTTP/1.1 200 OK\r\n", "X-Line: some value\r\n"},
+                {"HTTP/1.1 200 OK\r\nX-Line: ", "some value "},
+                {chunked + "2\r\nok\r\n0\r\n", "X-Trailer: some value\r\n"},
+                {chunked, "8\r\nabcdefgh\r\n"},
+                {"HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"}};
+        constexpr std::size_t maxSentBytes = 64UL * 1024 * 1024;
+        for (const auto &[opening, line] : floods) {
+            auto call = startCall();
+            const RawSocket connection = m_server.accept();
+            connection.receiveUntil("{}");
+            std::string block;
+            while (block.size() < 64UL * 1024)
+                block += line;
+            bool isOpen = connection.send(opening);
+            std::size_t sent = 0;
+            for (; isOpen && sent < maxSentBytes; sent += block.size())
+                isOpen = connection.send(block);
+            CPPUNIT_ASSERT_MESSAGE(opening + line, !isOpen);
+            CPPUNIT_ASSERT(call.get().kind == HttpResult::Kind::Interrupted);
+        }
+    }
+
     void wholeHeadIsAnAnswer()
     {
         for (const std::string text :
