Bound the memory for the digests of other instances

Each instance that a digest names is kept for 15 s with all that the digest says, so forged names fill the memory: 443 MB after 3,000 datagrams in HostileCallerProcessTest::datagramsOfUnknownInstances. The digests of all peers together now have a bound, beyond which a digest is refused, and the addresses that wait for an answer have one (4,096).

--- a/servers/mesh/mesh.cpp
+++ b/servers/mesh/mesh.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <span>
 #include <utility>
+#include <vector>
 
 namespace monsoonsail {
 
@@ -41,6 +42,26 @@
 /// Digests are sent to a silent peer less often than to a live one.
 constexpr Duration silentSendInterval = std::chrono::milliseconds(500);
 
+/// Addresses that are kept until they answer. A forged digest may name any number.
+constexpr std::size_t maxCandidates = 4096;
+
+template <typename Item>
+std::size_t memoryBytes(const std::vector<Item> &items)
+{
+    return items.capacity() * sizeof(Item);
+}
+
+/// Returns the memory that the digest takes, about.
+std::size_t memoryBytes(const Digest &digest)
+{
+    return sizeof(Digest) + digest.instance.size() + digest.incarnation.size()
+            + memoryBytes(digest.endpointLoads) + memoryBytes(digest.accountUses)
+            + memoryBytes(digest.serviceWork) + memoryBytes(digest.usageCounts)
+            + memoryBytes(digest.partCrashes) + memoryBytes(digest.soundParts)
+            + memoryBytes(digest.partTrials) + memoryBytes(digest.liveEndpoints)
+            + memoryBytes(digest.endpointLimits) + memoryBytes(digest.peerAddresses);
+}
+
 /// Returns the time between two digests of an instance that does not read the store.
 Duration nonReaderInterval(std::size_t instances)
 {
@@ -64,7 +85,7 @@
     const bool isPeer = std::ranges::any_of(m_peers, [&address](const auto &entry) {
         return entry.second.digest.address == address;
     });
-    if (isPeer)
+    if (isPeer || (m_candidates.size() >= maxCandidates && !m_candidates.contains(address)))
         return;
     m_candidates.try_emplace(address, Candidate{.nextSendAt = now}).first->second.lastMentionedAt =
             now;
@@ -83,6 +104,15 @@
     if (!isNew && !isSame && digest.sentAt < peer.digest.sentAt && digest.sequence > 1
         && isLive(peer, now))
         return nullptr;
+    const std::size_t digestBytes = memoryBytes(digest);
+    if (m_digestBytes - peer.digestBytes + digestBytes > m_maxDigestBytes) {
+        ++m_refusedDigests;
+        if (isNew)
+            m_peers.erase(entry);
+        return nullptr;
+    }
+    m_digestBytes += digestBytes - peer.digestBytes;
+    peer.digestBytes = digestBytes;
     if (isNew || !isSame || !isLive(peer, now))
         m_hasNewPeers = true;
     m_candidates.erase(digest.address);
@@ -98,8 +128,11 @@
 
 void Mesh::expire(Instant now)
 {
-    std::erase_if(m_peers, [now](const auto &entry) {
-        return entry.second.receivedAt + peerRetention < now;
+    std::erase_if(m_peers, [this, now](const auto &entry) {
+        const bool isExpired = entry.second.receivedAt + peerRetention < now;
+        if (isExpired)
+            m_digestBytes -= entry.second.digestBytes;
+        return isExpired;
     });
     std::erase_if(m_candidates, [now](const auto &entry) {
         return entry.second.lastMentionedAt + candidateRetention < now;
--- a/servers/mesh/mesh.h
+++ b/servers/mesh/mesh.h
@@ -4,6 +4,9 @@
 #include "core/instant.h"
 #include "servers/mesh/digest.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -14,10 +17,11 @@
 /// What is known about another entry instance.
 struct Peer
 {
-    Digest digest;          ///< Its newest digest.
-    Instant receivedAt;     ///< When that digest arrived.
-    Duration clockOffset{}; ///< The peer's clock minus the local clock.
-    Instant readerSince;    ///< When the first of its digests in a row arrived that name a reader.
+    Digest digest;               ///< Its newest digest.
+    Instant receivedAt;          ///< When that digest arrived.
+    Duration clockOffset{};      ///< The peer's clock minus the local clock.
+    std::size_t digestBytes = 0; ///< Memory that the digest takes, about.
+    Instant readerSince; ///< When the first of its digests in a row arrived that name a reader.
 };
 
 /// The other entry instances as known from their digests.
@@ -27,10 +31,14 @@
     /// `instance` is the name and `address` the digest address of this instance.
     Mesh(std::string instance, std::string address);
 
+    /// Bounds the memory for the newest digests of all peers together. What exceeds it is refused.
+    void setMaxDigestBytes(std::size_t bytes) { m_maxDigestBytes = bytes; }
+    /// Returns how many digests were refused for it.
+    std::uint64_t refusedDigests() const { return m_refusedDigests; }
     /// Adds an address at which an entry instance may receive digests.
     void addCandidate(const std::string &address, Instant now);
-    /// Applies a digest. Returns the peer that sent it, or nullptr if the digest is out of date or
-    /// was sent by this instance.
+    /// Applies a digest. Returns the peer that sent it, or nullptr if the digest is out of date,
+    /// was sent by this instance or takes too much memory.
     const Peer *applyDigest(Digest digest, Instant now);
     /// Removes peers that have been silent for a long time and addresses that never answered.
     void expire(Instant now);
@@ -107,7 +115,10 @@
     std::map<std::string, Peer> m_peers;
     /// Addresses without a peer, and those of silent peers for the schedule of targets().
     std::map<std::string, Candidate> m_candidates;
-    unsigned m_digestCount = 0;   ///< Sent so far.
+    unsigned m_digestCount = 0; ///< Sent so far.
+    std::size_t m_maxDigestBytes = std::numeric_limits<std::size_t>::max();
+    std::size_t m_digestBytes = 0; ///< Of all peers.
+    std::uint64_t m_refusedDigests = 0;
     bool m_hasNewPeers = false;   ///< Whether a peer appeared since the last complete digest.
     std::string m_lastSharedPeer; ///< Name of the peer whose address was sent last.
 };
--- a/tests/servers/mesh_test.cpp
+++ b/tests/servers/mesh_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST_SUITE(MeshTest);
     CPPUNIT_TEST(digestsOutOfOrderAreDropped);
     CPPUNIT_TEST(digestsOfARestartedPeerAreApplied);
+    CPPUNIT_TEST(forgedDigestsStayWithinTheMemory);
+    CPPUNIT_TEST(forgedAddressesAreBounded);
     CPPUNIT_TEST(addressesFromAPeerBecomeTargets);
     CPPUNIT_TEST(silentPeerIsNotLiveButIsCounted);
     CPPUNIT_TEST(digestIntervalGrowsWithTheInstances);
@@ -108,6 +110,37 @@
         CPPUNIT_ASSERT(m_mesh.applyDigest(restarted, m_now) != nullptr);
     }
 
+    // Each name that a digest gives is kept for a time, so forged ones could fill the memory.
+    void forgedDigestsStayWithinTheMemory()
+    {
+        constexpr std::size_t maxBytes = 100'000;
+        m_mesh.setMaxDigestBytes(maxBytes);
+        CPPUNIT_ASSERT(m_mesh.applyDigest(digest("a", 1), m_now) != nullptr);
+        for (int number = 0; number < 100; ++number) {
+            Digest forged = digest("forged" + std::to_string(number), 1);
+            forged.endpointLoads.resize(1000);
+            m_mesh.applyDigest(forged, m_now);
+        }
+        CPPUNIT_ASSERT(m_mesh.peers().size() * 1000 * sizeof(Digest::EndpointLoad)
+                       < maxBytes + 2000 * sizeof(Digest::EndpointLoad));
+        CPPUNIT_ASSERT(m_mesh.refusedDigests() > 0);
+        // A known peer goes on, and new ones are taken when the forged ones have expired.
+        CPPUNIT_ASSERT(m_mesh.applyDigest(digest("a", 2), m_now) != nullptr);
+        m_now += std::chrono::seconds(20);
+        m_mesh.expire(m_now);
+        CPPUNIT_ASSERT(m_mesh.peers().empty());
+        Digest late = digest("b", 1);
+        late.endpointLoads.resize(1000);
+        CPPUNIT_ASSERT(m_mesh.applyDigest(late, m_now) != nullptr);
+    }
+
+    void forgedAddressesAreBounded()
+    {
+        for (int number = 0; number < 10'000; ++number)
+            m_mesh.addCandidate("forged:" + std::to_string(number), m_now);
+        CPPUNIT_ASSERT(m_mesh.targets(m_now).size() < 5000);
+    }
+
     void addressesFromAPeerBecomeTargets()
     {
         Digest first = digest("a", 1);
