Bound what all callers hold together, and their connections

Each caller had bounds, their sum had none: 40 bodies that stop short of their end took 182 MB, whole requests that wait 312 MB, input behind an answer that is not read 257 MB, and connections that say nothing took all descriptors, after which the listener spun (HostileCallerProcessTest, 120 MB and 256 descriptors).

- RequestMemory counts incomplete, waiting and running requests with the capacity of their buffers.
Beyond an eighth of memory_mb, CallerSet refuses the callers that hold most without having sent a whole request (503, not run).
Running requests count and are kept; a request that is the only one, and one that fits into a connection's part of the bound, is always served.
- Bodies grow by a quarter and not beyond what they declare; buffers of refused requests and empty ones of kept connections are freed.
- At most 8 KB are read behind a running request or unread answers, also while output is unsent (EventLoop::Interest::Write).
- Connections are bounded by a third of the descriptors.
The one that has waited longest for a whole request goes first, so a byte now and then does not help.
Without descriptors, the listener closes such a connection, or pauses for 50 ms.
- The addresses for metrics, readiness and peers have the same bounds (64 connections, 1 MB of requests each).
- Settings [callers], max_descriptors, digest_memory_mb; metric monsoonsail_caller_faults_total by reason; log line callers-refused, at most one in 10 s.

That the listener spun is inferred from the code (a level-triggered event whose accept fails), not measured.

The fixture of the relay's tests sets 256 MB for requests: EarlyResponseTest leaves some 30 requests of 4 MB running, which the default of 32 MB refuses.

--- a/drivers/http/header_fields.cpp
+++ b/drivers/http/header_fields.cpp
@@ -40,6 +40,7 @@
 
 void HeaderFields::add(std::string_view name, std::string_view value)
 {
+    m_memoryBytes += sizeof(HeaderField) + name.size() + value.size();
     m_fields.push_back({.name = std::string(name), .value = std::string(value)});
 }
 
--- a/drivers/http/header_fields.h
+++ b/drivers/http/header_fields.h
@@ -25,11 +25,14 @@
     /// Returns the number of fields with this name.
     std::size_t count(std::string_view name) const;
 
+    /// Returns the bytes of memory that the fields take, about.
+    std::size_t memoryBytes() const { return m_memoryBytes; }
+
     const std::vector<HeaderField> &all() const { return m_fields; }
-    void clear() { m_fields.clear(); }
 
 private:
     std::vector<HeaderField> m_fields;
+    std::size_t m_memoryBytes = 0;
 };
 
 /// Compares two field names case-insensitively.
--- a/drivers/loop/event_loop.cpp
+++ b/drivers/loop/event_loop.cpp
@@ -24,9 +24,11 @@
 Flags<NotifyOn> pollFlags(EventLoop::Interest interest)
 {
     Flags<NotifyOn> flags(NotifyOn::Shutdown);
-    if (interest != EventLoop::Interest::Hangup)
+    const bool isWriting =
+            interest == EventLoop::Interest::Write || interest == EventLoop::Interest::ReadWrite;
+    if (interest == EventLoop::Interest::Read || interest == EventLoop::Interest::ReadWrite)
         flags.setFlag(NotifyOn::Read);
-    if (interest == EventLoop::Interest::ReadWrite)
+    if (isWriting)
         flags.setFlag(NotifyOn::Write);
     return flags;
 }
--- a/drivers/loop/event_loop.h
+++ b/drivers/loop/event_loop.h
@@ -22,6 +22,7 @@
     enum class Interest {
         Read,
         ReadWrite,
+        Write,
         Hangup, ///< Only reports that the peer has closed the connection, or an error.
     };
 
--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -74,6 +74,11 @@
                                    .Name("monsoonsail_platform_calls_total")
                                    .Help("Calls to the platform, by kind and topic or duty")
                                    .Register(m_registry))
+    , m_callerFaultFamily(prometheus::BuildCounter()
+                                  .Name("monsoonsail_caller_faults_total")
+                                  .Help("Callers that were refused or disconnected for what they "
+                                        "sent or did not read, by reason")
+                                  .Register(m_registry))
     , m_configurationDelayFamily(prometheus::BuildHistogram()
                                          .Name("monsoonsail_configuration_delay_seconds")
                                          .Help("Time for which peers had a later configuration "
@@ -181,6 +186,16 @@
             .Increment();
 }
 
+void PrometheusMetrics::recordCallerFaults(std::string_view reason, std::uint64_t count)
+{
+    findOrAddSeries(
+            m_callerFaults, reason, {},
+            [&]() -> auto & {
+                return m_callerFaultFamily.Add({{"reason", std::string(reason)}});
+            })
+            .Increment(static_cast<double>(count));
+}
+
 void PrometheusMetrics::recordPlatformCall(std::string_view call, std::string_view subject)
 {
     findOrAddSeries(
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -32,6 +33,8 @@
     void recordPlatformCall(std::string_view call, std::string_view subject) override;
     void recordEndpointUpdate(Duration age) override;
     void recordConfiguration(std::string_view source, Duration behindFor) override;
+    /// Records callers that were refused or whose connections were closed for this reason.
+    void recordCallerFaults(std::string_view reason, std::uint64_t count);
     /// Records how late a periodic task of the control thread ran.
     void recordLoopDelay(Duration delay);
 
@@ -57,6 +60,7 @@
     Counters &m_judgedStreamEndFamily;
     Counters &m_tooLongAnswerFamily;
     Counters &m_platformCallFamily;
+    Counters &m_callerFaultFamily;
     Histograms &m_configurationDelayFamily;
     prometheus::Histogram &m_endpointUpdateAge;
     prometheus::Histogram &m_loopDelay;
@@ -69,6 +73,7 @@
     SeriesMap<prometheus::Counter> m_judgedStreamEnds;
     SeriesMap<prometheus::Counter> m_tooLongAnswers;
     SeriesMap<prometheus::Counter> m_platformCalls;
+    SeriesMap<prometheus::Counter> m_callerFaults;
     SeriesMap<prometheus::Histogram> m_configurationDelays;
     std::map<std::string, prometheus::Gauge *> m_gauges;
 };
--- a/drivers/net/socket.cpp
+++ b/drivers/net/socket.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <string>
@@ -104,18 +105,25 @@
     return socket;
 }
 
-Socket Socket::accept() const
+Socket Socket::accept(std::error_code &error) const
 {
+    error.clear();
     Socket socket(::accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    // Other errors concern a connection that has ended meanwhile.
+    if (!socket.isOpen()
+        && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM))
+        error = lastError();
     if (socket.isOpen())
         enableOption(socket.descriptor(), IPPROTO_TCP, TCP_NODELAY);
     return socket;
 }
 
-std::optional<std::size_t> Socket::receiveInto(std::string &bytes, std::error_code &error) const
+std::optional<std::size_t> Socket::receiveInto(std::string &bytes, std::error_code &error,
+                                               std::size_t maxBytes) const
 {
     std::array<char, receiveBufferBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
-    const std::size_t size = receive(buffer, error);
+    const std::size_t size =
+            receive(std::span(buffer).first(std::min(maxBytes, buffer.size())), error);
     if (error == std::errc::operation_would_block) {
         error.clear();
         return 0;
--- a/drivers/net/socket.h
+++ b/drivers/net/socket.h
@@ -33,12 +33,15 @@
     /// returns the cause of the failure, if any.
     static Socket connecting(std::string_view address, std::error_code &error);
 
-    /// Accepts the next pending connection. Returns a closed socket if there is none.
-    Socket accept() const;
-    /// Appends the available data to `bytes` and returns its size, which is 0 if there is none.
+    /// Accepts the next pending connection. Returns a closed socket if there is none, and sets
+    /// `error` if one could not be accepted for lack of descriptors or memory.
+    Socket accept(std::error_code &error) const;
+    /// Appends available data, at most `maxBytes`, to `bytes` and returns its size, which is 0 if
+    /// there is none.
     /// Returns std::nullopt if the connection has ended; `error` is unset if the peer closed it
     /// without an error.
-    std::optional<std::size_t> receiveInto(std::string &bytes, std::error_code &error) const;
+    std::optional<std::size_t> receiveInto(std::string &bytes, std::error_code &error,
+                                           std::size_t maxBytes = SIZE_MAX) const;
     /// Returns the number of bytes received, 0 at the end of the stream. If there is no data, the
     /// error is operation_would_block.
     std::size_t receive(std::span<char> buffer, std::error_code &error) const;
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -14,6 +14,9 @@
 constexpr double maxRequests = 1e9;
 constexpr double maxMemoryMb = 1e6;
 constexpr double bytesPerMb = 1024.0 * 1024;
+constexpr double maxDescriptors = 1e7;
+/// Part of the process's memory for digests. What is derived from them takes as much again.
+constexpr double digestMemoryDivisor = 16;
 
 /// Returns the digest addresses of the entry instances in `seeds`, a list of "IP:port" separated by
 /// commas. The port is that of `digestListen`, since all instances use the same port for digests.
@@ -53,6 +56,26 @@
     settings.stopGrace = fromSeconds(reader.number("stop_grace_s", 0, maxSeconds));
     settings.memoryBytes =
             static_cast<std::size_t>(reader.number("memory_mb", 1, maxMemoryMb, 256) * bytesPerMb);
+    const double memoryMb = static_cast<double>(settings.memoryBytes) / bytesPerMb;
+    settings.digestMemoryBytes = static_cast<std::size_t>(
+            reader.number("digest_memory_mb", 0.1, maxMemoryMb, memoryMb / digestMemoryDivisor)
+            * bytesPerMb);
+    settings.maxDescriptors =
+            static_cast<std::size_t>(reader.number("max_descriptors", 0, maxDescriptors, 0));
+    reader.readOptionalTable("callers", [&settings](TableReader &table) {
+        CallerSettings &callers = settings.callers;
+        const auto bytes = [&table](const char *key) {
+            return static_cast<std::size_t>(table.number(key, 0, maxMemoryMb, 0) * bytesPerMb);
+        };
+        callers.maxConnections =
+                static_cast<std::size_t>(table.number("max_connections", 0, maxDescriptors, 0));
+        callers.maxLocalConnections = static_cast<std::size_t>(table.number(
+                "max_local_connections", 1, maxDescriptors, callers.maxLocalConnections));
+        callers.requestBytes = bytes("request_memory_mb");
+        callers.unreadBytes = bytes("unread_memory_mb");
+        callers.requestTime = fromSeconds(
+                table.number("request_time_s", 1, maxSeconds, toSeconds(callers.requestTime)));
+    });
     reader.readOptionalTable("repeats", [&settings](TableReader &table) {
         settings.limits.repeats = {.ratio = table.number("ratio", 0, 1),
                                    .slack = table.number("slack", 0, maxRequests),
--- a/drivers/settings/serving_settings.h
+++ b/drivers/settings/serving_settings.h
@@ -12,6 +12,16 @@
 
 namespace monsoonsail {
 
+/// Bounds for callers. Those that are 0 follow from the memory and the descriptors.
+struct CallerSettings
+{
+    std::size_t maxConnections = 0;
+    std::size_t maxLocalConnections = 64; ///< To each of the other TCP addresses.
+    std::size_t requestBytes = 0;
+    std::size_t unreadBytes = 0;
+    Duration requestTime = std::chrono::seconds(600);
+};
+
 /// Settings of an entry daemon, read from its TOML file.
 struct ServingSettings
 {
@@ -26,8 +36,11 @@
     std::string dutyAddress;   ///< "IP:port" of the platform's API for duties.
     std::vector<std::string> peerAddresses; ///< Digest addresses of some entry instances.
     ServingLimits limits;
-    Duration stopGrace{};        ///< Time between SIGTERM and SIGKILL.
-    std::size_t memoryBytes = 0; ///< Memory that the process may use.
+    Duration stopGrace{};              ///< Time between SIGTERM and SIGKILL.
+    std::size_t memoryBytes = 0;       ///< Memory that the process may use.
+    std::size_t maxDescriptors = 0;    ///< Descriptors that it may open; 0 for the process's limit.
+    std::size_t digestMemoryBytes = 0; ///< For the digests of all other instances.
+    CallerSettings callers;
 };
 
 /// Reads settings from TOML text. `file` is the file name in reported faults.
--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -91,6 +91,11 @@
     reportTooLong("the responses in progress hold too much memory");
 }
 
+std::size_t Attempt::unsentRequestBytes() const
+{
+    return m_pendingRequest.size() + (m_connection ? m_connection->unsentBytes() : 0);
+}
+
 void Attempt::onConnected()
 {
     if (m_start.checksIncarnation && !m_connection->isIncarnationChecked)
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -85,6 +85,8 @@
     bool wasTooLong() const { return m_wasTooLong; }
     /// Returns the bytes of the response that are held in memory.
     std::size_t heldBytes() const { return m_heldBytes; }
+    /// Returns the bytes of the request that are held until the endpoint's socket accepts them.
+    std::size_t unsentRequestBytes() const;
     Instant sentAt() const { return m_sentAt; }
     /// Returns the instant before which the endpoint, which declined, accepts no further request
     /// from this instance.
--- a/drivers/traffic/caller_listener.h
+++ b/drivers/traffic/caller_listener.h
@@ -13,9 +13,13 @@
 class CallerListener : public DescriptorHandler
 {
 public:
-    /// Throws std::system_error if the address can't be bound.
+    /// Frees a descriptor. Returns false if it can't.
+    using MakeRoom = std::function<bool()>;
+
+    /// Throws std::system_error if the address can't be bound. `makeRoom` is called when no
+    /// descriptor is left for a connection.
     CallerListener(EventLoop &loop, std::string_view address,
-                   std::function<void(Socket)> onAccepted);
+                   std::function<void(Socket)> onAccepted, MakeRoom makeRoom);
     ~CallerListener() override;
     CallerListener(const CallerListener &) = delete;
     CallerListener &operator=(const CallerListener &) = delete;
@@ -26,9 +30,14 @@
     unsigned port() const { return m_socket.port(); }
 
 private:
+    /// Accepts nothing for a time.
+    void pause();
+
     EventLoop &m_loop;
     Socket m_socket;
     std::function<void(Socket)> m_onAccepted;
+    MakeRoom m_makeRoom;
+    TimerQueue::Handle m_resumeTimer; ///< Set while nothing is accepted.
 };
 
 } // namespace monsoonsail
--- a/drivers/traffic/endpoint_connection.cpp
+++ b/drivers/traffic/endpoint_connection.cpp
@@ -13,6 +13,8 @@
 /// The connection is reset if sent bytes stay unacknowledged for this time, as happens when a
 /// network partition separates the endpoint.
 constexpr unsigned userTimeoutMs = 3000;
+/// Larger buffers are freed when they are empty, since connections are kept.
+constexpr std::size_t maxKeptBufferBytes = 16UL * 1024;
 
 ConnectionEnd connectionEnd(const std::error_code &error)
 {
@@ -139,6 +141,8 @@
         m_hasSent = true;
         m_output.erase(0, size);
     }
+    if (m_output.empty() && m_output.capacity() > maxKeptBufferBytes)
+        std::string().swap(m_output);
     updateInterest();
 }
 
--- a/drivers/traffic/endpoint_connection.h
+++ b/drivers/traffic/endpoint_connection.h
@@ -64,6 +64,8 @@
     bool isOpen() const { return m_socket.isOpen(); }
     bool isConnected() const { return m_connected; }
     bool hasSent() const { return m_hasSent; }
+    /// Returns the bytes of requests that the socket has not accepted.
+    std::size_t unsentBytes() const { return m_output.size(); }
     /// Whether the connection is established and no bytes are buffered in either direction.
     bool hasEmptyBuffers() const { return m_connected && m_input.empty() && m_output.empty(); }
     /// Whether the endpoint has closed the connection or sent bytes without a request.
--- a/drivers/traffic/exchange.h
+++ b/drivers/traffic/exchange.h
@@ -33,6 +33,7 @@
     std::string callerId; ///< The id that the caller gave to the request.
     RequestHead head;
     std::string body;
+    std::size_t countedBytes = 0;             ///< As counted in the RequestMemory.
     std::shared_ptr<CallerConnection> caller; ///< Null after a disconnect or the response.
     std::map<AttemptNumber, std::unique_ptr<Attempt>> attempts;
     /// Kept connections that have carried the request. It is not sent on them again, since an
--- a/drivers/traffic/local_server.cpp
+++ b/drivers/traffic/local_server.cpp
@@ -3,21 +3,24 @@
 #include "drivers/traffic/response_writer.h"
 
 #include <utility>
-#include <vector>
 
 namespace monsoonsail {
 
 namespace {
 constexpr Duration sweepInterval = std::chrono::seconds(1);
+/// The requests have no bodies of use.
+constexpr std::uint64_t maxBodyBytes = 64UL * 1024;
 } // namespace
 
-LocalServer::LocalServer(EventLoop &loop, std::string_view address, Handler handler)
+LocalServer::LocalServer(EventLoop &loop, std::string_view address,
+                         const CallerLimits &callerLimits, CallerFaults &faults, Handler handler)
     : m_loop(loop)
+    , m_limits{.maxBodyBytes = maxBodyBytes}
     , m_handler(std::move(handler))
-    , m_listener(loop, address, [this](Socket socket) {
-        m_connections.insert(std::make_shared<CallerConnection>(
-                m_loop, std::move(socket), static_cast<CallerConnectionOwner &>(*this)));
-    })
+    , m_callers(loop, *this, callerLimits, faults)
+    , m_listener(
+              loop, address, [this](Socket socket) { m_callers.accept(std::move(socket)); },
+              [this] { return m_callers.closeLongestWaiting(CallerFault::NoDescriptors); })
 {
     m_sweepTimer = m_loop.timers().schedule(m_loop.now() + sweepInterval, [this] { sweep(); });
 }
@@ -43,16 +46,13 @@
 
 void LocalServer::onConnectionClosed(CallerConnection &connection)
 {
-    m_connections.erase(connection.shared_from_this());
+    m_callers.remove(connection);
 }
 
 void LocalServer::sweep()
 {
     m_sweepTimer = m_loop.timers().schedule(m_loop.now() + sweepInterval, [this] { sweep(); });
-    const std::vector<std::shared_ptr<CallerConnection>> connections(m_connections.begin(),
-                                                                     m_connections.end());
-    for (const auto &connection : connections)
-        connection->checkTimeouts(m_loop.now());
+    m_callers.checkTimeouts(m_loop.now());
 }
 
 } // namespace monsoonsail
--- a/drivers/traffic/local_server.h
+++ b/drivers/traffic/local_server.h
@@ -3,12 +3,11 @@
 #include "drivers/loop/event_loop.h"
 #include "drivers/traffic/caller_connection.h"
 #include "drivers/traffic/caller_listener.h"
+#include "drivers/traffic/caller_set.h"
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 
 namespace monsoonsail {
 
@@ -24,9 +23,10 @@
     };
     using Handler = std::function<Response(const RequestHead &, std::string_view body)>;
 
-    /// Listens on "IP:port". Throws std::system_error if that fails. `loop` must outlive the
-    /// server.
-    LocalServer(EventLoop &loop, std::string_view address, Handler handler);
+    /// Listens on "IP:port". Throws std::system_error if that fails. The references must outlive
+    /// the server.
+    LocalServer(EventLoop &loop, std::string_view address, const CallerLimits &callerLimits,
+                CallerFaults &faults, Handler handler);
     ~LocalServer() override;
     LocalServer(const LocalServer &) = delete;
     LocalServer &operator=(const LocalServer &) = delete;
@@ -39,13 +39,14 @@
     void onCallerDisconnected(CallerConnection & /*connection*/) override { }
     void onConnectionClosed(CallerConnection &connection) override;
     const ConnectionLimits &limits() const override { return m_limits; }
+    CallerSet &callers() override { return m_callers; }
     bool isStopping() const override { return false; }
     void sweep();
 
     EventLoop &m_loop;
     const ConnectionLimits m_limits;
     const Handler m_handler;
-    std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
+    CallerSet m_callers;
     CallerListener m_listener;
     TimerQueue::Handle m_sweepTimer;
 };
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -20,11 +20,13 @@
 } // namespace
 
 TrafficRelay::TrafficRelay(EventLoop &loop, const WireCodec &codec, TrafficListener &listener,
-                           std::size_t maxResponseBytes)
+                           std::size_t maxResponseBytes, const CallerLimits &callerLimits,
+                           CallerFaults &callerFaults)
     : m_loop(loop)
     , m_codec(codec)
     , m_listener(listener)
     , m_responseMemory(maxResponseBytes)
+    , m_callers(loop, *this, callerLimits, callerFaults)
     , m_endpointPool(loop)
 {
     m_sweepTimer = m_loop.timers().schedule(m_loop.now() + sweepInterval, [this] { sweep(); });
@@ -38,10 +40,9 @@
 
 void TrafficRelay::listen(std::string_view address)
 {
-    m_callerListener = std::make_unique<CallerListener>(m_loop, address, [this](Socket socket) {
-        m_connections.insert(std::make_shared<CallerConnection>(
-                m_loop, std::move(socket), static_cast<CallerConnectionOwner &>(*this)));
-    });
+    m_callerListener = std::make_unique<CallerListener>(
+            m_loop, address, [this](Socket socket) { m_callers.accept(std::move(socket)); },
+            [this] { return m_callers.closeLongestWaiting(CallerFault::NoDescriptors); });
 }
 
 void TrafficRelay::onRequest(CallerConnection &connection, RequestHead head, std::string body,
@@ -57,6 +58,7 @@
     exchange->body = std::move(body);
     exchange->caller = connection.shared_from_this();
     m_requestsByCaller[&connection] = arrival.number;
+    countRequestBytes(*exchange);
     m_exchanges[arrival.number] = std::move(exchange);
     if (error != ErrorKind::None)
         refuse({.request = arrival.number, .kind = error});
@@ -81,7 +83,7 @@
 
 void TrafficRelay::onConnectionClosed(CallerConnection &connection)
 {
-    m_connections.erase(connection.shared_from_this());
+    m_callers.remove(connection);
     if (m_isClosing)
         reportCallersClosed();
 }
@@ -122,6 +124,9 @@
     request.append(exchange->body);
     attempt.send(std::move(connection), std::move(request), connectionReused,
                  isHeadRequest(exchange->head));
+    // Sending may have ended the request.
+    if (Exchange *running = findExchange(start.request))
+        countRequestBytes(*running);
 }
 
 std::shared_ptr<EndpointConnection> TrafficRelay::connect(const Exchange &exchange,
@@ -340,6 +345,7 @@
     Exchange &exchange = *entry->second;
     while (!exchange.attempts.empty())
         dropAttempt(exchange, exchange.attempts.begin()->first);
+    m_callers.requestMemory().update(exchange.countedBytes, 0);
     m_requestsWithProgress.erase(request);
     m_exchanges.erase(entry);
 }
@@ -350,11 +356,9 @@
     m_endedAttempts.clear();
     std::erase_if(m_endpointCalls, [](const auto &call) { return call->isFinished(); });
     m_endpointPool.closeExpired(m_loop.now());
-    const std::vector<std::shared_ptr<CallerConnection>> connections(m_connections.begin(),
-                                                                     m_connections.end());
-    for (const auto &connection : connections)
-        connection->checkTimeouts(m_loop.now());
-    closeSlowCallers();
+    m_callers.checkTimeouts(m_loop.now());
+    for (const auto &[number, exchange] : m_exchanges)
+        countRequestBytes(*exchange);
 }
 
 } // namespace monsoonsail
--- a/drivers/traffic/traffic_relay.h
+++ b/drivers/traffic/traffic_relay.h
@@ -4,6 +4,7 @@
 #include "drivers/traffic/attempt.h"
 #include "drivers/traffic/caller_connection.h"
 #include "drivers/traffic/caller_listener.h"
+#include "drivers/traffic/caller_set.h"
 #include "drivers/traffic/endpoint_call.h"
 #include "drivers/traffic/endpoint_pool.h"
 #include "drivers/traffic/exchange.h"
@@ -30,9 +31,10 @@
 {
 public:
     /// All references must outlive the relay. `maxResponseBytes` bounds the memory for responses
-    /// of endpoints that are in progress, all together, and for those that callers have not read.
+    /// of endpoints that are in progress, all together.
     TrafficRelay(EventLoop &loop, const WireCodec &codec, TrafficListener &listener,
-                 std::size_t maxResponseBytes);
+                 std::size_t maxResponseBytes, const CallerLimits &callerLimits,
+                 CallerFaults &callerFaults);
     ~TrafficRelay() override;
     TrafficRelay(const TrafficRelay &) = delete;
     TrafficRelay &operator=(const TrafficRelay &) = delete;
@@ -59,12 +61,16 @@
     /// Returns the count of the memory for responses. May be read on any thread.
     const ResponseMemory &responseMemory() const { return m_responseMemory; }
 
+    /// Returns the count of the memory for requests. Must be used on the thread of the loop.
+    const RequestMemory &requestMemory() { return m_callers.requestMemory(); }
+
 private:
     void onRequest(CallerConnection &connection, RequestHead head, std::string body,
                    Instant headReceivedAt) override;
     void onCallerDisconnected(CallerConnection &connection) override;
     void onConnectionClosed(CallerConnection &connection) override;
     const ConnectionLimits &limits() const override { return m_limits; }
+    CallerSet &callers() override { return m_callers; }
     bool isStopping() const override { return m_stopping; }
 
     void onStreamBlock(Attempt &attempt, const StreamBlock &block) override;
@@ -93,8 +99,8 @@
     void refuseNewRequest(RequestNumber request);
     void endOpenRequests();
     void reportCallersClosed();
-    /// Closes callers that leave the most bytes unread, if all together leave too many.
-    void closeSlowCallers();
+    /// Counts the memory that the request takes.
+    void countRequestBytes(Exchange &exchange);
     void sweep();
 
     EventLoop &m_loop;
@@ -105,9 +111,9 @@
     bool m_stopping = false;
     bool m_isClosing = false;        ///< Set by closeCallers(), after which nothing is passed on.
     bool m_areCallersClosed = false; ///< Whether the listener has been told.
+    CallerSet m_callers;
     std::unique_ptr<CallerListener> m_callerListener;
     EndpointPool m_endpointPool;
-    std::unordered_set<std::shared_ptr<CallerConnection>> m_connections;
     std::unordered_map<RequestNumber, std::unique_ptr<Exchange>> m_exchanges;
     std::unordered_map<const CallerConnection *, RequestNumber> m_requestsByCaller;
     /// Attempts that have ended. They are destroyed later, since one of their functions may still
--- a/drivers/traffic/traffic_relay_memory.cpp
+++ b/drivers/traffic/traffic_relay_memory.cpp
@@ -1,11 +1,10 @@
 #include "drivers/traffic/traffic_relay.h"
 
-#include <algorithm>
 #include <cstddef>
-#include <numeric>
 
-// The part of the traffic relay that bounds the memory for responses. An endpoint that sends bytes
-// without end holds the most, so the largest response is given up first and the others go on.
+// The part of the traffic relay that counts the memory for requests and bounds that for responses.
+// An endpoint that sends bytes without end holds the most, so the largest response is given up
+// first and the others go on.
 
 namespace monsoonsail {
 
@@ -28,17 +27,14 @@
     }
 }
 
-void TrafficRelay::closeSlowCallers()
+// Callers that send are refused by the next count of one of them, not here.
+void TrafficRelay::countRequestBytes(Exchange &exchange)
 {
-    std::size_t unsentBytes = std::accumulate(
-            m_connections.begin(), m_connections.end(), std::size_t{0},
-            [](std::size_t sum, const auto &caller) { return sum + caller->unsentBytes(); });
-    while (unsentBytes > m_responseMemory.maxBytes()) {
-        const auto largest = *std::ranges::max_element(
-                m_connections, {}, [](const auto &caller) { return caller->unsentBytes(); });
-        unsentBytes -= largest->unsentBytes();
-        largest->close();
-    }
+    std::size_t bytes = exchange.body.capacity() + exchange.head.fields.memoryBytes();
+    for (const auto &[number, attempt] : exchange.attempts)
+        bytes += attempt->unsentRequestBytes();
+    m_callers.requestMemory().update(exchange.countedBytes, bytes);
+    exchange.countedBytes = bytes;
 }
 
 } // namespace monsoonsail
--- a/drivers/traffic/traffic_relay_stop.cpp
+++ b/drivers/traffic/traffic_relay_stop.cpp
@@ -20,9 +20,7 @@
     m_stopping = true;
     m_callerListener->close();
     endOpenRequests();
-    const std::vector<std::shared_ptr<CallerConnection>> connections(m_connections.begin(),
-                                                                     m_connections.end());
-    for (const auto &connection : connections)
+    for (const auto &connection : m_callers.all())
         connection->finish();
     reportCallersClosed();
 }
@@ -52,7 +50,7 @@
 
 void TrafficRelay::reportCallersClosed()
 {
-    if (m_connections.empty() && !std::exchange(m_areCallersClosed, true))
+    if (m_callers.isEmpty() && !std::exchange(m_areCallersClosed, true))
         m_listener.onCallersClosed();
 }
 
--- a/main/monsoonsaild/control_plane.cpp
+++ b/main/monsoonsaild/control_plane.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <memory>
 #include <string>
-#include <system_error>
 #include <utility>
 
 namespace monsoonsail {
@@ -43,7 +42,8 @@
 } // namespace
 
 ControlPlane::ControlPlane(const ServingSettings &settings, EventLoop &loop, TrafficPort &traffic,
-                           LogWriter &logWriter, const std::string &incarnation)
+                           LogWriter &logWriter, const std::string &incarnation,
+                           CallerFaults &callerFaults)
     : m_settings(settings)
     , m_incarnation(incarnation)
     , m_loop(loop)
@@ -89,7 +89,11 @@
               [this] { return m_loop.now(); }, [this] { m_dutyElection.onFenced(); }, m_decisionLog)
     , m_allowanceJournal(
               m_context.allowances, m_storeClient, [this] { return m_loop.now(); }, m_decisionLog)
-{ }
+    , m_callerFaults(callerFaults)
+    , m_callerFaultReport(callerFaults, m_decisionLog, m_metrics)
+{
+    m_mesh.setMaxDigestBytes(settings.digestMemoryBytes);
+}
 
 ControlPlane::~ControlPlane()
 {
@@ -119,13 +123,13 @@
     m_context.promptQuarantine.setNewsHandler([this] { sendDigest(); });
     m_decisionLog.write(LogLevel::Info, "started", {},
                         {{"zone", m_settings.zone}, {"callers", m_settings.callerListen}});
-    m_readyServer.emplace(m_loop, m_settings.readyListen,
+    m_readyServer.emplace(m_loop, m_settings.readyListen, localLimits(), m_callerFaults,
                           [this](const RequestHead &head, std::string_view /*body*/) {
                               return answerReadiness(head);
                           });
     startPeerServer();
     if (!m_settings.metricsListen.empty()) {
-        m_metricsServer.emplace(m_loop, m_settings.metricsListen,
+        m_metricsServer.emplace(m_loop, m_settings.metricsListen, localLimits(), m_callerFaults,
                                 [this](const RequestHead &head, std::string_view /*body*/) {
                                     return answerMetrics(head);
                                 });
@@ -243,27 +247,6 @@
                                 m_endpointExchange, m_loop.now())};
 }
 
-LocalServer::Response ControlPlane::answerPeer(const RequestHead &head) const
-{
-    if (head.target != ConfigurationClient::path || !m_context.configuration)
-        return {.status = statusNotFound, .body = "not found\n"};
-    return {.body = m_configurationFeed.text()};
-}
-
-// Without this server the instance still serves; only its peers can't ask it.
-void ControlPlane::startPeerServer()
-{
-    try {
-        m_peerServer.emplace(m_loop, m_settings.digestListen,
-                             [this](const RequestHead &head, std::string_view /*body*/) {
-                                 return answerPeer(head);
-                             });
-    } catch (const std::system_error &error) {
-        m_decisionLog.write(LogLevel::Warning, "peer-server-failed", {},
-                            {{"address", m_settings.digestListen}, {"error", error.what()}});
-    }
-}
-
 bool ControlPlane::isReady() const
 {
     return m_context.configuration != nullptr && !m_context.isConfigurationOutdated(m_loop.now())
@@ -324,6 +307,7 @@
     // Readers write the journal, since they are known within a second of a start, whereas the
     // election of the holder of the duties takes seconds.
     m_allowanceJournal.advance(m_endpointExchange.isReader(), m_mesh.clockCorrection());
+    m_callerFaultReport.advance(now);
     m_decisionLog.reportDropped();
     m_logWriter.flush();
     checkStop();
--- a/main/monsoonsaild/control_plane.h
+++ b/main/monsoonsaild/control_plane.h
@@ -8,6 +8,7 @@
 #include "drivers/metrics/prometheus_metrics.h"
 #include "drivers/settings/serving_settings.h"
 #include "drivers/traffic/local_server.h"
+#include "main/monsoonsaild/caller_fault_report.h"
 #include "platform/duty_client.h"
 #include "platform/store_client.h"
 #include "platform/store_site_codec.h"
@@ -39,7 +40,7 @@
 public:
     /// All references must outlive the object.
     ControlPlane(const ServingSettings &settings, EventLoop &loop, TrafficPort &traffic,
-                 LogWriter &logWriter, const std::string &incarnation);
+                 LogWriter &logWriter, const std::string &incarnation, CallerFaults &callerFaults);
     ~ControlPlane() override;
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
@@ -63,6 +64,7 @@
 
 private:
     TopicFollower::Scheduler makeScheduler();
+    CallerLimits localLimits() const;
     LocalServer::Response answerReadiness(const RequestHead &head) const;
     LocalServer::Response answerMetrics(const RequestHead &head);
     void startPeerServer();
@@ -114,6 +116,8 @@
     UsageReporter m_usageReporter;
     FleetManager m_fleetManager;
     AllowanceJournal m_allowanceJournal;
+    CallerFaults &m_callerFaults;
+    CallerFaultReport m_callerFaultReport;
     std::optional<LocalServer> m_readyServer;
     std::optional<LocalServer> m_peerServer;
     std::optional<LocalServer> m_metricsServer; ///< Empty if the settings have no address for it.
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -1,6 +1,7 @@
 #include "main/monsoonsaild/control_plane.h"
 
 #include <algorithm>
+#include <system_error>
 #include <utility>
 
 // The part of the control plane that exchanges messages with the other entry instances.
@@ -10,8 +11,41 @@
 namespace {
 /// A peer repeats its suspicions in every digest. They end this long after its next one is due.
 constexpr Duration suspicionMargin = std::chrono::milliseconds(450);
+constexpr int statusNotFound = 404;
+/// Of the requests at each of the addresses for metrics, readiness and peers.
+constexpr std::size_t maxLocalRequestBytes = 1024UL * 1024;
+/// Part of the process's memory for the answers at each of these addresses that are not read.
+constexpr std::size_t localUnreadDivisor = 24;
 } // namespace
 
+CallerLimits ControlPlane::localLimits() const
+{
+    return {.maxConnections = m_settings.callers.maxLocalConnections,
+            .maxRequestBytes = maxLocalRequestBytes,
+            .maxUnreadBytes = m_settings.memoryBytes / localUnreadDivisor};
+}
+
+LocalServer::Response ControlPlane::answerPeer(const RequestHead &head) const
+{
+    if (head.target != ConfigurationClient::path || !m_context.configuration)
+        return {.status = statusNotFound, .body = "not found\n"};
+    return {.body = m_configurationFeed.text()};
+}
+
+// Without this server the instance still serves; only its peers can't ask it.
+void ControlPlane::startPeerServer()
+{
+    try {
+        m_peerServer.emplace(m_loop, m_settings.digestListen, localLimits(), m_callerFaults,
+                             [this](const RequestHead &head, std::string_view /*body*/) {
+                                 return answerPeer(head);
+                             });
+    } catch (const std::system_error &error) {
+        m_decisionLog.write(LogLevel::Warning, "peer-server-failed", {},
+                            {{"address", m_settings.digestListen}, {"error", error.what()}});
+    }
+}
+
 Duration ControlPlane::digestInterval() const
 {
     return m_mesh.digestInterval(m_endpointExchange.isReader());
@@ -74,7 +108,10 @@
 void ControlPlane::handleDigest(Digest digest)
 {
     const Instant now = m_loop.now();
+    const std::uint64_t refusedBefore = m_mesh.refusedDigests();
     const Peer *peer = m_mesh.applyDigest(std::move(digest), now);
+    if (m_mesh.refusedDigests() > refusedBefore)
+        m_callerFaults.count(CallerFault::DigestMemory);
     if (peer == nullptr)
         return;
     m_context.allowances.applyPeerDigest(*peer, now);
--- a/main/monsoonsaild/serving_daemon.h
+++ b/main/monsoonsaild/serving_daemon.h
@@ -6,6 +6,7 @@
 #include "drivers/loop/signal_watcher.h"
 #include "drivers/settings/serving_settings.h"
 #include "drivers/time/system_clock.h"
+#include "drivers/traffic/caller_faults.h"
 #include "drivers/traffic/traffic_relay.h"
 #include "main/monsoonsaild/control_plane.h"
 #include "platform/http_codec.h"
@@ -40,6 +41,7 @@
     EventLoop m_controlLoop;
     EventLoop m_trafficLoop;
     platform::HttpCodec m_httpCodec;
+    CallerFaults m_callerFaults;
     // The mailboxes only store references, so each may be constructed before its receiver.
     TrafficMailbox m_trafficMailbox;
     ControlPlane m_controlPlane;
--- a/tests/drivers/traffic_relay_fixture.h
+++ b/tests/drivers/traffic_relay_fixture.h
@@ -112,7 +112,8 @@
         m_thread = std::make_unique<LoopThread>();
         m_thread->runAndWait([this] {
             m_traffic = std::make_unique<TrafficRelay>(m_thread->loop(), m_codec, m_listener,
-                                                       maxResponseBytes);
+                                                       maxResponseBytes, m_callerLimits,
+                                                       m_callerFaults);
             m_traffic->listen("127.0.0.1:0");
         });
     }
@@ -126,6 +127,9 @@
 protected:
     static constexpr std::size_t maxResponseBytes = 32UL * 1024 * 1024;
 
+    /// Tests leave requests of several MB running. Changed before setUp().
+    CallerLimits m_callerLimits{.maxRequestBytes = 256UL * 1024 * 1024};
+    CallerFaults m_callerFaults;
     PlainCodec m_codec;
     RecordingTrafficListener m_listener;
     std::unique_ptr<LoopThread> m_thread;
