Free a descriptor for a request that is to run, and test the reports

With a max_connections beyond the descriptors, silent connections left none for a connection to an endpoint. The relay now closes the connection that has waited longest for a request and tries again, as the listener does.

--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -141,6 +141,10 @@
     }
     std::error_code error;
     auto connection = m_endpointPool.connect(start.endpoint, start.address, error);
+    // A caller that waits is worth less than a request that is to run.
+    if (error == std::errc::too_many_files_open
+        && m_callers.closeLongestWaiting(CallerFault::NoDescriptors))
+        connection = m_endpointPool.connect(start.endpoint, start.address, error);
     if (error)
         reason = "cannot connect: " + error.message();
     return connection;
--- a/tests/processes/hostile_caller_test.cpp
+++ b/tests/processes/hostile_caller_test.cpp
@@ -142,6 +142,8 @@
     CPPUNIT_TEST(trailersAtTheLocalAddresses);
     CPPUNIT_TEST(connectionsToTheLocalAddressesThatSayNothing);
     CPPUNIT_TEST(datagramsOfUnknownInstances);
+    CPPUNIT_TEST(connectionsBeyondTheDescriptors);
+    CPPUNIT_TEST(faultsAreReported);
     CPPUNIT_TEST(largestRequestIsServedInCalm);
     CPPUNIT_TEST_SUITE_END();
 
@@ -191,10 +193,12 @@
                     + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x'));
     }
 
-    void expectOrdinaryRequestIsAnswered()
+    void expectOrdinaryRequestIsAnswered() { expectOrdinaryRequestIsAnswered(daemon()); }
+
+    static void expectOrdinaryRequestIsAnswered(const DaemonProcess &process)
     {
-        const bool isAnswered = waitUntil(seconds(10), [this] {
-            return Caller().call(daemon().callerPort(), "/look/1", "ordinary", seconds(2)).status
+        const bool isAnswered = waitUntil(seconds(10), [&process] {
+            return Caller().call(process.callerPort(), "/look/1", "ordinary", seconds(2)).status
                     == 200;
         });
         CPPUNIT_ASSERT_MESSAGE("no answer to an ordinary request", isAnswered);
@@ -334,6 +338,43 @@
         expectOrdinaryRequestIsAnswered();
         expectBoundsHeld();
     }
+    // A bound that is set too high leaves no descriptor for connections to endpoints.
+    void connectionsBeyondTheDescriptors()
+    {
+        DaemonProcess &unbounded = m_site->addDaemon("entry-2",
+                                                     {.memoryMb = memoryMb,
+                                                      .maxConnections = 10 * descriptors,
+                                                      .maxDescriptors = descriptors});
+        expectOrdinaryRequestIsAnswered(unbounded);
+        HostileCrowd crowd(unbounded.callerPort(), {silent(2 * descriptors)});
+        crowd.play([] {});
+        expectOrdinaryRequestIsAnswered(unbounded);
+        CPPUNIT_ASSERT(unbounded.isRunning());
+    }
+    // Operators have to see why callers are refused, without a line for each of them.
+    void faultsAreReported()
+    {
+        play(trailers());
+        const auto pageHas = [this](const std::string &text) {
+            return Caller::fetch(daemon().metricsPort(), "/metrics").body.find(text)
+                    != std::string::npos;
+        };
+        // The control thread takes over the counts several times a second.
+        CPPUNIT_ASSERT(waitUntil(seconds(5), [&] {
+            return pageHas("monsoonsail_caller_faults_total{reason=\"header-too-long\"}");
+        }));
+        CPPUNIT_ASSERT(waitUntil(seconds(5), [this] {
+            return daemon().log().find("\"callers-refused\"") != std::string::npos;
+        }));
+        const std::string log = daemon().log();
+        const std::size_t line = log.find("\"callers-refused\"");
+        CPPUNIT_ASSERT(log.find("header-too-long=", line) != std::string::npos);
+        std::size_t lines = 0;
+        for (std::size_t at = line; at != std::string::npos;
+             at = log.find("\"callers-refused\"", at + 1))
+            ++lines;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(lines), lines <= 2);
+    }
     // Guards against bounds that callers within the limits meet.
     void largestRequestIsServedInCalm()
     {
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -83,6 +83,9 @@
          << "\nduty_lease_ms = 3000\nstop_grace_s = 8\n"
          << (m_settings.memoryMb == 0 ? ""
                                       : "memory_mb = " + std::to_string(m_settings.memoryMb) + "\n")
+         << (m_settings.maxConnections == 0 ? ""
+                                            : "[callers]\nmax_connections = "
+                             + std::to_string(m_settings.maxConnections) + "\n")
          << "[repeats]\nratio = 0.2\nslack = 50\nwindow_s = 10\n"
          << "[usage]\nwindow_s = " << m_settings.usageWindow.count()
          << "\ndue_s = " << m_settings.usageDue.count() << "\n"
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -17,6 +17,7 @@
     std::chrono::seconds usageWindow{1};
     std::chrono::seconds usageDue{4};
     unsigned memoryMb = 0;       ///< Memory in its settings; 0 for the default.
+    unsigned maxConnections = 0; ///< Of callers, in its settings; 0 for the default.
     unsigned maxDescriptors = 0; ///< Limit of the process; 0 for that of the test.
 };
 
