Return large freed buffers to the system

The C library raises the size from which buffers are mapped with the first large one that is freed, and then keeps what is freed between others. What mapping costs requests of more than 128 KB in processor time was not measured.

--- a/main/monsoonsaild/main.cpp
+++ b/main/monsoonsaild/main.cpp
@@ -7,6 +7,7 @@
 #include <absl/flags/usage.h>
 #include <glog/logging.h>
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -28,6 +29,12 @@
 
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
+constexpr int kilobyte = 1024;
+/// Larger buffers are mapped, so that they go back to the system when they are freed. By default
+/// the C library raises this with the first large buffer and keeps what is freed between others.
+constexpr int mappedBufferBytes = 128 * kilobyte;
+/// Free memory at the end of the heap that is kept.
+constexpr int keptHeapBytes = 1024 * kilobyte;
 
 std::optional<std::string> readFile(const std::string &path)
 {
@@ -70,6 +77,8 @@
 
 int main(int argc, char **argv)
 {
+    mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);
+    mallopt(M_TRIM_THRESHOLD, keptHeapBytes);
     absl::SetProgramUsageMessage("Entry daemon of monsoonsail.\nmonsoonsaild --settings=FILE");
     absl::ParseCommandLine(argc, argv);
     const std::string path = absl::GetFlag(FLAGS_settings);
