--- a/tests/drivers/hostile_caller_test.cpp
+++ b/tests/drivers/hostile_caller_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(smallRequestIsServedBeyondTheBound);
     CPPUNIT_TEST(largeWholeRequestBeyondTheBoundIsRefused);
     CPPUNIT_TEST(onlyRequestIsServedBeyondTheBound);
+    CPPUNIT_TEST(parsedHeadersCountWithTheMemoryTheyTake);
     CPPUNIT_TEST(connectionThatWaitedLongestIsClosed);
     CPPUNIT_TEST(runningRequestsKeepTheirConnections);
     CPPUNIT_TEST(inputBehindARunningRequestIsBounded);
@@ -124,6 +125,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("large"), m_listener.nextArrival().callerId);
     }
 
+    // A parsed field takes far more memory than the few bytes that were sent.
+    void parsedHeadersCountWithTheMemoryTheyTake()
+    {
+        std::string request = "GET /a HTTP/1.1\r\nId: fields\r\n";
+        while (request.size() < 16'300)
+            request += "a:\r\n";
+        request += "\r\n";
+        const RawSocket first = connectCaller(request);
+        m_listener.nextArrival();
+        const RawSocket second = connectCaller(request);
+        expectRefused(second, "503");
+    }
+
     void connectionThatWaitedLongestIsClosed()
     {
         std::vector<RawSocket> silent;
