--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -84,6 +84,11 @@
                                    .Help("Changes of phase of roll-outs that this instance has "
                                          "decided, by service and phase")
                                    .Register(m_registry))
+    , m_callerFaultFamily(prometheus::BuildCounter()
+                                  .Name("monsoonsail_caller_faults_total")
+                                  .Help("Callers that were refused or disconnected for what they "
+                                        "sent or did not read, by reason")
+                                  .Register(m_registry))
     , m_configurationDelayFamily(prometheus::BuildHistogram()
                                          .Name("monsoonsail_configuration_delay_seconds")
                                          .Help("Time for which peers had a later configuration "
@@ -202,6 +207,16 @@
             .Increment();
 }
 
+void PrometheusMetrics::recordCallerFaults(std::string_view reason, std::uint64_t count)
+{
+    findOrAddSeries(
+            m_callerFaults, reason, {},
+            [&]() -> auto & {
+                return m_callerFaultFamily.Add({{"reason", std::string(reason)}});
+            })
+            .Increment(static_cast<double>(count));
+}
+
 void PrometheusMetrics::recordPlatformCall(std::string_view call, std::string_view subject)
 {
     findOrAddSeries(
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -34,6 +35,8 @@
     void recordEndpointUpdate(Duration age) override;
     void recordConfiguration(std::string_view source, Duration behindFor) override;
     void recordRolloutPhase(std::string_view service, std::string_view phase) override;
+    /// Records callers that were refused or whose connections were closed for this reason.
+    void recordCallerFaults(std::string_view reason, std::uint64_t count);
     /// Records how late a periodic task of the control thread ran.
     void recordLoopDelay(Duration delay);
 
@@ -61,6 +64,7 @@
     Counters &m_rolloutRunFamily;
     Counters &m_platformCallFamily;
     Counters &m_rolloutPhaseFamily;
+    Counters &m_callerFaultFamily;
     Histograms &m_configurationDelayFamily;
     prometheus::Histogram &m_endpointUpdateAge;
     prometheus::Histogram &m_loopDelay;
@@ -75,6 +79,7 @@
     SeriesMap<prometheus::Counter> m_rolloutRuns;
     SeriesMap<prometheus::Counter> m_platformCalls;
     SeriesMap<prometheus::Counter> m_rolloutPhases;
+    SeriesMap<prometheus::Counter> m_callerFaults;
     SeriesMap<prometheus::Histogram> m_configurationDelays;
     std::map<std::string, prometheus::Gauge *> m_gauges;
 };
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -17,6 +17,9 @@
     std::chrono::seconds usageWindow{1};
     std::chrono::seconds usageDue{4};
     bool hasRollouts = false;
+    unsigned memoryMb = 0;       ///< Memory in its settings; 0 for the default.
+    unsigned maxConnections = 0; ///< Of callers, in its settings; 0 for the default.
+    unsigned maxDescriptors = 0; ///< Limit of the process; 0 for that of the test.
 };
 
 /// A monsoonsaild process, its settings file and its log. It can be restarted. The process ends at
@@ -47,6 +50,7 @@
     pid_t processId() const { return m_processId; }
     const DaemonSettings &settings() const { return m_settings; }
     unsigned callerPort() const { return m_callerPort; }
+    unsigned readyPort() const { return m_readyPort; }
     unsigned metricsPort() const { return m_metricsPort; }
     unsigned digestPort() const { return m_digestPort; }
     /// Returns the log of all runs of the daemon.
