Keep a reserve of nearly exhausted allowances for urgent requests; share scarce places of engines

Change: with [allowances] keeps_urgent, the ledger paces an account whose demand would exhaust its window and leaves a reserve to more urgent requests; digests carry the demand by urgency. With [admission] shares_places, AdmissionControl refuses in proportion to the pressure, by urgency and weighted max-min fairness of accounts. Both are off by default.

--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -102,13 +102,9 @@
     case lengthDelimited(DigestField::Load):
         digest.endpointLoads.push_back(readLoad(reader.get_message()));
         break;
-    case lengthDelimited(DigestField::Use): {
-        const Amounts use = readAmounts(reader.get_message());
-        digest.accountUses.push_back({.account = AccountHash(use.nameHash),
-                                      .requested = use.first,
-                                      .admitted = use.second});
+    case lengthDelimited(DigestField::Use):
+        digest.accountUses.push_back(readAccountUse(reader.get_message()));
         break;
-    }
     case lengthDelimited(DigestField::Work): {
         const Amounts work = readAmounts(reader.get_message());
         digest.serviceWork.push_back({.service = ServiceHash(work.nameHash),
@@ -190,10 +186,8 @@
     }
     for (const Digest::EndpointLoad &load : digest.endpointLoads)
         writeLoad(load, Writer(writer, tag(DigestField::Load)));
-    for (const Digest::AccountUse &use : digest.accountUses) {
-        writeAmounts(use.account.value(), use.requested, use.admitted,
-                     Writer(writer, tag(DigestField::Use)));
-    }
+    for (const Digest::AccountUse &use : digest.accountUses)
+        writeAccountUse(use, Writer(writer, tag(DigestField::Use)));
     for (const Digest::ServiceWork &work : digest.serviceWork) {
         writeAmounts(work.service.value(), work.promptTokens, work.outputTokens,
                      Writer(writer, tag(DigestField::Work)));
--- a/drivers/mesh/digest_records.cpp
+++ b/drivers/mesh/digest_records.cpp
@@ -2,7 +2,9 @@
 
 #include "drivers/mesh/wire_fields.h"
 
+#include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace monsoonsail {
 
@@ -10,6 +12,9 @@
 
 namespace {
 
+/// Urgencies and amounts that are read of one account.
+constexpr std::size_t maxUrgencyValues = 32;
+
 std::uint64_t rounded(double amount)
 {
     return amount <= 0 ? 0 : static_cast<std::uint64_t>(std::llround(amount));
@@ -79,6 +84,57 @@
     return amounts;
 }
 
+void writeAccountUse(const Digest::AccountUse &use, Writer writer)
+{
+    writer.add_fixed64(tag(NestedField::First), use.account.value());
+    writer.add_uint64(tag(NestedField::Second), rounded(use.requested));
+    writer.add_uint64(tag(NestedField::Third), rounded(use.admitted));
+    if (use.byUrgency.empty())
+        return;
+    // Urgencies and amounts by turns. The last amount is what the others leave of the total.
+    std::vector<std::uint64_t> values;
+    for (const Digest::UrgencyUse &part : use.byUrgency) {
+        values.push_back(part.urgency);
+        values.push_back(rounded(part.requested));
+    }
+    values.pop_back();
+    writer.add_packed_uint64(tag(NestedField::Fourth), values.begin(), values.end());
+}
+
+Digest::AccountUse readAccountUse(NestedReader reader)
+{
+    Digest::AccountUse use;
+    std::vector<std::uint64_t> values;
+    while (reader.next()) {
+        switch (reader.tag_and_type()) {
+        case fixed64(NestedField::First):
+            use.account = AccountHash(reader.get_fixed64());
+            break;
+        case varint(NestedField::Second):
+            use.requested = static_cast<double>(reader.get_uint64());
+            break;
+        case varint(NestedField::Third):
+            use.admitted = static_cast<double>(reader.get_uint64());
+            break;
+        case lengthDelimited(NestedField::Fourth):
+            for (const std::uint64_t value : reader.get_packed_uint64())
+                values.push_back(value);
+            break;
+        default:
+            reader.skip();
+        }
+    }
+    double unlisted = use.requested;
+    for (std::size_t index = 0; index < std::min(values.size(), maxUrgencyValues); index += 2) {
+        const bool isLast = index + 1 >= values.size();
+        const double amount = isLast ? unlisted : static_cast<double>(values.at(index + 1));
+        use.byUrgency.push_back(
+                {.urgency = static_cast<unsigned>(values.at(index)), .requested = amount});
+        unlisted = std::max(0.0, unlisted - amount);
+    }
+    return use;
+}
+
 void writeCount(const Digest::UsageCount &count, Writer writer)
 {
     writer.add_uint64(tag(NestedField::First), count.window);
--- a/drivers/mesh/digest_records.h
+++ b/drivers/mesh/digest_records.h
@@ -22,7 +22,7 @@
 
 using NestedReader = protozero::pbf_message<NestedField>;
 
-/// Use of an account or work of a service.
+/// Work of a service.
 struct Amounts
 {
     std::uint64_t nameHash = 0;
@@ -39,11 +39,12 @@
 
 void writeLoad(const Digest::EndpointLoad &load, protozero::pbf_writer writer);
 Digest::EndpointLoad readLoad(NestedReader reader);
-/// Writes an account's use or the work of a service, which both consist of the hash of a name and
-/// two amounts.
+/// Writes the hash of a name and two amounts.
 void writeAmounts(std::uint64_t nameHash, double first, double second,
                   protozero::pbf_writer writer);
 Amounts readAmounts(NestedReader reader);
+void writeAccountUse(const Digest::AccountUse &use, protozero::pbf_writer writer);
+Digest::AccountUse readAccountUse(NestedReader reader);
 void writeCount(const Digest::UsageCount &count, protozero::pbf_writer writer);
 Digest::UsageCount readCount(NestedReader reader);
 void writePartCrash(const Digest::PartCrash &crash, protozero::pbf_writer writer);
--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -52,6 +52,12 @@
                               .Name("monsoonsail_refusals_total")
                               .Help("Requests that got an error, by account and kind")
                               .Register(m_registry))
+    , m_admissionRefusalFamily(
+              prometheus::BuildCounter()
+                      .Name("monsoonsail_admission_refusals_total")
+                      .Help("Requests refused for an allowance or for places of engines, by reason "
+                            "and urgency")
+                      .Register(m_registry))
     , m_attemptFamily(prometheus::BuildCounter()
                               .Name("monsoonsail_attempts_total")
                               .Help("Attempts on endpoints, by service and result")
@@ -136,6 +142,18 @@
             .Increment();
 }
 
+void PrometheusMetrics::recordAdmissionRefusal(std::string_view reason, unsigned urgency)
+{
+    const std::string level = std::to_string(urgency);
+    findOrAddSeries(
+            m_admissionRefusals, reason, level,
+            [&]() -> auto & {
+                return m_admissionRefusalFamily.Add(
+                        {{"reason", std::string(reason)}, {"urgency", level}});
+            })
+            .Increment();
+}
+
 void PrometheusMetrics::recordAttempt(std::string_view service, AttemptResult result)
 {
     const std::string_view name = attemptResultName(result);
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -25,6 +25,7 @@
                       Duration total) override;
     void recordLongestPause(std::string_view route, Duration longest) override;
     void recordRefusal(std::string_view account, ErrorKind kind) override;
+    void recordAdmissionRefusal(std::string_view reason, unsigned urgency) override;
     void recordAttempt(std::string_view service, AttemptResult result) override;
     void recordTakeUp(std::string_view service, std::string_view outcome) override;
     void recordJudgedStreamEnd(std::string_view service, StreamEndGround ground) override;
@@ -52,6 +53,7 @@
     Histograms &m_firstByteTimeFamily;
     Histograms &m_longestPauseFamily;
     Counters &m_refusalFamily;
+    Counters &m_admissionRefusalFamily;
     Counters &m_attemptFamily;
     Counters &m_takeUpFamily;
     Counters &m_judgedStreamEndFamily;
@@ -64,6 +66,7 @@
     SeriesMap<prometheus::Histogram> m_firstByteTimes;
     SeriesMap<prometheus::Histogram> m_longestPauses;
     SeriesMap<prometheus::Counter> m_refusals;
+    SeriesMap<prometheus::Counter> m_admissionRefusals;
     SeriesMap<prometheus::Counter> m_attempts;
     SeriesMap<prometheus::Counter> m_takeUps;
     SeriesMap<prometheus::Counter> m_judgedStreamEnds;
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -62,7 +62,11 @@
         settings.limits.allowances = {
                 .window = fromSeconds(table.number("window_s", 0.1, maxSeconds)),
                 .excess = table.number("excess", 0, 1),
-                .slack = table.number("slack", 0, maxRequests)};
+                .slack = table.number("slack", 0, maxRequests),
+                .keepsUrgent = table.boolean("keeps_urgent", false)};
+    });
+    reader.readOptionalTable("admission", [&settings](TableReader &table) {
+        settings.limits.sharesPlaces = table.boolean("shares_places", false);
     });
     reader.readOptionalTable("usage", [&settings](TableReader &table) {
         settings.limits.usageWindow = fromSeconds(table.number("window_s", 0.1, maxSeconds));
--- a/servers/allowance/allowance_ledger.cpp
+++ b/servers/allowance/allowance_ledger.cpp
@@ -168,7 +168,7 @@
 }
 
 std::optional<Instant> AllowanceLedger::admit(const AccountId &account, double amount, Instant now,
-                                              AdmissionPriority priority)
+                                              AdmissionPriority priority, unsigned urgency)
 {
     const auto position = m_entries.find(account);
     if (position == m_entries.end())
@@ -177,26 +177,41 @@
     advance(entry, now);
     entry.requested += amount;
     entry.surgeDemand += amount;
+    std::optional<Instant> retryAt;
     if (entry.limit > 0) {
         // A request larger than the limit is admitted if nothing else has been used.
         const double counted = std::min(amount, entry.limit);
         const bool isNew = priority == AdmissionPriority::New;
-        const double reserved = reservedForContinued(entry, now);
-        const double left =
-                entry.limit - entry.used.sum() + (isNew ? -reserved : entry.continuedExtra);
-        if (counted > left || !isWithinShare(entry, left, counted, priority, now)) {
-            if (!isNew)
-                entry.waitingContinued += counted;
-            const Instant availableAt = entry.used.timeOfFallTo(entry.limit - counted, now);
-            return std::clamp(availableAt, now + minRetryDelay, now + maxRetryDelay);
-        }
+        retryAt = m_rules.keepsUrgent && isNew ? refuseByUrgency(entry, counted, urgency, now)
+                                               : refuseByShare(entry, counted, priority, now);
+    }
+    if (m_rules.keepsUrgent) {
+        entry.demand.add(urgency, amount);
+        entry.requestedByUrgency.at(UrgencyDemand::indexOf(urgency)) += amount;
     }
+    if (retryAt)
+        return retryAt;
     entry.used.add(amount, now);
     entry.usedHere.add(amount, now);
     entry.admitted += amount;
     return std::nullopt;
 }
 
+std::optional<Instant> AllowanceLedger::refuseByShare(Entry &entry, double amount,
+                                                      AdmissionPriority priority, Instant now)
+{
+    const bool isNew = priority == AdmissionPriority::New;
+    const double reserved = reservedForContinued(entry, now);
+    const double left = entry.limit - entry.used.sum() + (isNew ? -reserved : entry.continuedExtra);
+    if (amount <= left
+        && isWithinShare(entry, left, amount, maxDemandPerSecond(entry), priority, now))
+        return std::nullopt;
+    if (!isNew)
+        entry.waitingContinued += amount;
+    const Instant availableAt = entry.used.timeOfFallTo(entry.limit - amount, now);
+    return std::clamp(availableAt, now + minRetryDelay, now + maxRetryDelay);
+}
+
 AllowanceState AllowanceLedger::state(const AccountId &account, Instant now) const
 {
     const auto position = m_entries.find(account);
@@ -215,6 +230,19 @@
     return state;
 }
 
+std::vector<AccountRate> AllowanceLedger::rates(Instant now)
+{
+    std::vector<AccountRate> rates;
+    for (auto &[key, entry] : m_entries) {
+        advance(entry, now);
+        rates.push_back({.account = entry.account,
+                         .requestedPerSecond =
+                                 (entry.recentDemand + entry.recentPeerDemand) / demandDecaySeconds,
+                         .allowedPerSecond = entry.allowance.perSecond});
+    }
+    return rates;
+}
+
 bool AllowanceLedger::isWarmingUp(Instant now) const
 {
     return !m_startedAt
@@ -229,7 +257,7 @@
 }
 
 bool AllowanceLedger::isWithinShare(Entry &entry, double left, double amount,
-                                    AdmissionPriority priority, Instant now)
+                                    double demandPerSecond, AdmissionPriority priority, Instant now)
 {
     const bool isNew = priority == AdmissionPriority::New;
 
@@ -237,7 +265,7 @@
     const bool isDemandKnown = demand > 0 && !isWarmingUp(now);
     // What the others admit before they learn of this request can't exceed the demand.
     const Duration digestAge = Mesh::typicalAge(m_meshSize);
-    const double unreportedDemand = maxDemandPerSecond(entry) * toSeconds(digestAge);
+    const double unreportedDemand = demandPerSecond * toSeconds(digestAge);
     const bool knowsCurrentDemand =
             isDemandKnown && m_peersMissingUntil <= now && digestAge <= maxUsableDigestAge;
     if (knowsCurrentDemand && left >= unreportedDemand)
@@ -305,9 +333,12 @@
         entry.recentDemand += entry.requested - entry.reportedRequested;
         entry.reportedRequested = entry.requested;
         entry.reportedAdmitted = entry.admitted;
-        if (entry.requested > 0 && (all || entry.reportsLeft > 0))
-            uses.push_back(
-                    {.account = account, .requested = entry.requested, .admitted = entry.admitted});
+        if (entry.requested > 0 && (all || entry.reportsLeft > 0)) {
+            uses.push_back({.account = account,
+                            .requested = entry.requested,
+                            .admitted = entry.admitted,
+                            .byUrgency = demandByUrgency(entry)});
+        }
         entry.reportsLeft -= std::min(entry.reportsLeft, 1U);
     }
     return uses;
@@ -325,6 +356,7 @@
     entry.recentDemand *= kept;
     entry.recentPeerDemand *= kept;
     entry.surgeDemand *= std::exp(-seconds / surgeDecaySeconds());
+    entry.demand.advance(now);
 }
 
 } // namespace monsoonsail
--- a/servers/allowance/allowance_ledger.h
+++ b/servers/allowance/allowance_ledger.h
@@ -4,12 +4,16 @@
 #include "core/instant.h"
 #include "core/name_hash.h"
 #include "core/random_source.h"
+#include "servers/allowance/account_rate.h"
 #include "servers/allowance/admission_priority.h"
+#include "servers/allowance/allowance_pacing.h"
 #include "servers/allowance/sliding_sum.h"
+#include "servers/allowance/urgency_demand.h"
 #include "servers/mesh/digest.h"
 #include "servers/mesh/mesh.h"
 #include "servers/site/account.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,6 +32,9 @@
     /// Tolerated use beyond that: a fraction of it, and an amount in the unit of the allowance.
     double excess = 0;
     double slack = 0;
+    /// Whether less urgent requests of an account leave it a reserve for its more urgent ones, and
+    /// its use is paced while it requests much more than it may use.
+    bool keepsUrgent = false;
 };
 
 /// What an instance knows of an account's allowance, in the unit of the allowance.
@@ -69,11 +76,16 @@
     void configure(const std::vector<Account> &accounts, Instant now);
     bool hasAccounts() const { return !m_entries.empty(); }
     /// Admits a request of this size and counts it, or refuses it and returns when a retry makes
-    /// sense.
+    /// sense. `urgency` is the priority of its route, 0 for the most urgent.
     std::optional<Instant> admit(const AccountId &account, double amount, Instant now,
-                                 AdmissionPriority priority = AdmissionPriority::New);
+                                 AdmissionPriority priority = AdmissionPriority::New,
+                                 unsigned urgency = 0);
     /// Returns the values on which decisions about requests of this account are based.
     AllowanceState state(const AccountId &account, Instant now) const;
+    /// Returns the recent demand of each account on all instances.
+    std::vector<AccountRate> rates(Instant now);
+    /// Returns the number of instances that exchange digests.
+    std::size_t instanceCount() const { return m_meshSize; }
     /// Subtracts the amount that was counted for an admitted request that did not run.
     void refund(const AccountId &account, double amount, Instant now);
 
@@ -109,9 +121,10 @@
 
         double requested = 0;
         double admitted = 0;
-        double demandPerSecond = 0; ///< As of `changedAt`.
-        Instant changedAt;          ///< When a digest last reported the counts.
-        SlidingSum reserved;        ///< Counted on its behalf while it was silent.
+        std::vector<Digest::UrgencyUse> byUrgency; ///< Parts of `requested`.
+        double demandPerSecond = 0;                ///< As of `changedAt`.
+        Instant changedAt;                         ///< When a digest last reported the counts.
+        SlidingSum reserved;                       ///< Counted on its behalf while it was silent.
     };
     /// Counts of one peer, from its digests.
     struct PeerState
@@ -143,11 +156,18 @@
         double surgeDemand = 0;      ///< On all instances; decays with surgeDecaySeconds().
         double recentPeerDemand = 0; ///< Reported by the peers; decays with demandDecaySeconds.
         Instant decayedAt;
-        double continuedExtra = 0; ///< Part of the tolerance for requests to go on with an answer.
+        /// Part of the tolerance for requests to go on with an answer, and for those that are more
+        /// urgent than others.
+        double continuedExtra = 0;
         /// Amounts of requests to go on with an answer that were refused lately.
         double waitingContinued = 0;
         Instant waitingContinuedAt; ///< When that was brought up to date.
-        Instant lastDrawAt; ///< When a large request was last admitted or refused at random.
+        Instant lastDrawAt;   ///< When a large request was last admitted or refused at random.
+        UrgencyDemand demand; ///< On all instances; unused without AllowanceRules::keepsUrgent.
+        /// Parts of `requested`, by urgency.
+        std::array<double, UrgencyDemand::urgencyCount> requestedByUrgency{};
+        /// When a request was last refused, by urgency.
+        std::array<Instant, UrgencyDemand::urgencyCount> refusedAt{};
     };
 
     void advance(Entry &entry, Instant now) const;
@@ -164,8 +184,26 @@
                                Instant now);
     /// Whether this process has started too recently to know the demand on the other instances.
     bool isWarmingUp(Instant now) const;
-    bool isWithinShare(Entry &entry, double left, double amount, AdmissionPriority priority,
-                       Instant now);
+    bool isWithinShare(Entry &entry, double left, double amount, double demandPerSecond,
+                       AdmissionPriority priority, Instant now);
+    /// Decides whether a request is admitted, regardless of its urgency. Returns when a retry makes
+    /// sense if it is refused.
+    std::optional<Instant> refuseByShare(Entry &entry, double amount, AdmissionPriority priority,
+                                         Instant now);
+    /// The same for a new request, by urgency.
+    std::optional<Instant> refuseByUrgency(Entry &entry, double amount, unsigned urgency,
+                                           Instant now);
+    /// Returns an upper estimate of what all instances admit per second that is at least as urgent,
+    /// beyond what leaves the window.
+    double maxAdmittedPerSecond(const Entry &entry, const AllowancePacing &pacing) const;
+    /// Returns by which factor the newest demand exceeds that of the last second.
+    double surgeFactor(const Entry &entry) const;
+    /// Returns a random time at which a request that is refused now has its turn.
+    Instant retryTime(const Entry &entry, const AllowancePacing &pacing, double amount,
+                      unsigned urgency, Instant now);
+    /// Adds what a peer's digest reports of the demand to that of all instances.
+    static void addPeerDemand(Entry &entry, PeerUse &known, const Digest::AccountUse &use);
+    static std::vector<Digest::UrgencyUse> demandByUrgency(const Entry &entry);
     /// Returns the amount that is kept from new requests for answers that wait to go on.
     static double reservedForContinued(Entry &entry, Instant now);
     double maxDemandPerSecond(const Entry &entry) const;
--- a/servers/allowance/allowance_ledger_peers.cpp
+++ b/servers/allowance/allowance_ledger_peers.cpp
@@ -64,6 +64,7 @@
     if (isFirst || known.changedAt == Instant()) {
         known.requested = isNew ? 0 : use.requested;
         known.admitted = isNew ? 0 : use.admitted;
+        known.byUrgency = isNew ? std::vector<Digest::UrgencyUse>() : use.byUrgency;
         known.changedAt = peer.lastDigestAt;
     }
     releaseReservation(entry, known, now);
@@ -72,6 +73,8 @@
     const double newDemand = std::max(use.requested - known.requested, 0.0);
     entry.recentPeerDemand += newDemand;
     entry.surgeDemand += newDemand;
+    if (m_rules.keepsUrgent)
+        addPeerDemand(entry, known, use);
     const double seconds = toSeconds(now - known.changedAt);
     if (seconds > 0) {
         const double weight = std::min(1.0, seconds / demandDecaySeconds);
--- a/servers/allowance/sliding_sum.cpp
+++ b/servers/allowance/sliding_sum.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <limits>
 
 namespace monsoonsail {
 
 namespace {
 /// Resolution of the sum. A slice counts until all of it is older than the span.
 constexpr Duration sliceLength = std::chrono::milliseconds(200);
+constexpr Duration minSteadyTime = std::chrono::seconds(1);
 } // namespace
 
 void SlidingSum::clear()
@@ -78,4 +80,25 @@
     return now;
 }
 
+double SlidingSum::maxSteadyRate(double limit, Duration horizon, Instant now) const
+{
+    double sum = m_sum;
+    double rate = std::numeric_limits<double>::infinity();
+    // The sum is highest just before a slice leaves it.
+    const auto bound = [&rate, &sum, limit, now](Instant at) {
+        rate = std::min(rate, (limit - sum) / toSeconds(at - now));
+    };
+    for (const Slice &slice : m_slices) {
+        const Instant leavesAt = slice.begin + sliceLength + m_span;
+        if (leavesAt >= now + horizon)
+            break;
+        // What leaves within moments would make the rate jump with each slice.
+        if (leavesAt >= now + minSteadyTime)
+            bound(leavesAt);
+        sum -= slice.amount;
+    }
+    bound(now + horizon);
+    return std::max(0.0, rate);
+}
+
 } // namespace monsoonsail
--- a/servers/allowance/sliding_sum.h
+++ b/servers/allowance/sliding_sum.h
@@ -30,6 +30,9 @@
     std::vector<double> binnedAmounts(std::size_t binCount, Instant now) const;
     /// Returns when the sum falls to `target` if nothing is added.
     Instant timeOfFallTo(double target, Instant now) const;
+    /// Returns the highest amount per second that can be added steadily for this time without the
+    /// sum exceeding `limit`.
+    double maxSteadyRate(double limit, Duration horizon, Instant now) const;
 
 private:
     struct Slice
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -30,12 +30,20 @@
         std::uint32_t promptTokens = 0; ///< Prompt tokens that it has yet to process.
         bool isSuspect = false;         ///< Whether it fell silent or refused work of the sender.
     };
+    /// Demand of the requests of one urgency.
+    struct UrgencyUse
+    {
+        unsigned urgency = 0;
+        double requested = 0;
+    };
     /// Use of a client account's allowance, in the allowance's unit.
     struct AccountUse
     {
         AccountHash account;
         double requested = 0; ///< Demand of all requests that arrived.
         double admitted = 0;  ///< Use by the requests that were admitted.
+        /// Parts of `requested`, the most urgent first. Empty if the sender doesn't count them.
+        std::vector<UrgencyUse> byUrgency;
     };
     /// Work that the sender has given to the engines of a service.
     struct ServiceWork
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -24,6 +24,8 @@
     virtual void recordLongestPause(std::string_view route, Duration longest) = 0;
     /// Records a request that got an error. `account` is empty if it is not known.
     virtual void recordRefusal(std::string_view account, ErrorKind kind) = 0;
+    /// Records a request that was refused by its urgency. `reason` names the rule.
+    virtual void recordAdmissionRefusal(std::string_view reason, unsigned urgency) = 0;
     /// Records the end of an attempt on an endpoint of the service.
     virtual void recordAttempt(std::string_view service, AttemptResult result) = 0;
     /// Records that a caller took up a stream of the service, or was refused. `outcome` is the
--- a/servers/serving/attempt_launcher.cpp
+++ b/servers/serving/attempt_launcher.cpp
@@ -25,6 +25,8 @@
 constexpr Duration maxSafeIdleTime = std::chrono::milliseconds(900);
 /// Expected output of a stream whose caller gives no estimate.
 constexpr std::uint32_t defaultOutputTokens = 128;
+/// Work of an engine for an output token, in prompt tokens.
+constexpr double outputTokenCost = 10;
 
 PlacementRequest placementRequest(const RequestRecord &record)
 {
@@ -69,11 +71,7 @@
 
 std::optional<unsigned> engineUrgency(const RequestRecord &record)
 {
-    if (!record.service->engine)
-        return std::nullopt;
-    if (record.account != nullptr && record.account->priority)
-        return record.account->priority;
-    return record.route->priority;
+    return record.service->engine ? std::optional(record.urgency()) : std::nullopt;
 }
 
 } // namespace
@@ -171,6 +169,8 @@
     m_context.endpointHealth.recordAttemptStart(number, endpoint.id, record.isStream(), now);
     m_context.placerFor(*record.service)
             .recordAttemptStart(number, placementRequest(record), placement, now);
+    if (sharesPlaces(record))
+        m_context.admission.recordStart(number, placeRequest(record, placement), now);
     const RequestArrival &arrival = record.arrival;
     m_context.log.write(LogLevel::Detail, "attempt-started", arrival.callerId,
                         {{"attempt", static_cast<std::int64_t>(number)},
@@ -207,11 +207,78 @@
              .deadline = record.deadline});
 }
 
+PlaceRequest AttemptLauncher::placeRequest(const RequestRecord &record,
+                                           const Placement &placement) const
+{
+    const PlacementRequest request = placementRequest(record);
+    const double running = m_context.enginePlacer->runningRequests(placement.endpoint);
+    return {.service = record.service->name,
+            .account = record.account != nullptr ? record.account->name : AccountId(),
+            .urgency = record.urgency(),
+            .cost = request.promptTokens + outputTokenCost * request.outputTokens,
+            .charge = record.charge,
+            .expectedFirstEventAt = placement.expectedFirstByteAt,
+            .goalAt = request.firstByteGoalAt,
+            .deadline = record.deadline,
+            .hasFreeSlot = running < record.service->engine->batchSlots};
+}
+
+EngineUse AttemptLauncher::engineUse(const Service &service, Instant now) const
+{
+    EngineUse use;
+    for (const auto &[id, endpoint] : m_context.endpoints.all()) {
+        if (endpoint.listing.service != service.name || !endpoint.isUsable(now))
+            continue;
+        use.running += m_context.enginePlacer->runningRequests(id);
+        use.slots += service.engine->batchSlots;
+    }
+    return use;
+}
+
+std::optional<Instant> AttemptLauncher::refuseForPlaces(const RequestRecord &record,
+                                                        const Placement &placement, Instant now)
+{
+    if (!sharesPlaces(record) || record.isTakeUp())
+        return std::nullopt;
+    AdmissionControl &admission = m_context.admission;
+    AllowanceLedger &allowances = m_context.allowances;
+    if (admission.needsAccounts(now)) {
+        const std::size_t instances = allowances.instanceCount();
+        admission.updateAccounts(allowances.rates(now), static_cast<unsigned>(instances),
+                                 Mesh::typicalAge(instances), now);
+    }
+    if (admission.needsUse(record.service->name, now))
+        admission.updateUse(record.service->name, engineUse(*record.service, now), now);
+    const PlaceRequest request = placeRequest(record, placement);
+    const auto refusal = admission.refuse(request, now);
+    if (!refusal)
+        return std::nullopt;
+    const std::string_view reason = placeRefusalName(refusal->reason);
+    m_context.log.write(LogLevel::Warning, "place-refused", record.arrival.callerId,
+                        {{"reason", reason},
+                         {"service", request.service.view()},
+                         {"account", request.account.view()},
+                         {"urgency", toLog(std::uint64_t{request.urgency})},
+                         {"cost", request.cost},
+                         {"expected_first_ms", toMs(request.expectedFirstEventAt - now)},
+                         {"lateness", refusal->lateness},
+                         {"admitted_fraction", refusal->admittedFraction},
+                         {"retry_in_ms", toMs(refusal->retryAt - now)}});
+    m_context.metrics.recordAdmissionRefusal(reason, request.urgency);
+    return refusal->retryAt;
+}
+
+bool AttemptLauncher::sharesPlaces(const RequestRecord &record) const
+{
+    return m_context.limits.sharesPlaces && record.service->engine;
+}
+
 void AttemptLauncher::recordEnd(const RequestRecord &record, const RunningAttempt &attempt,
                                 EndpointVerdict verdict, Instant now)
 {
     m_context.endpointHealth.recordAttemptEnd(attempt.number, verdict, now);
     m_context.placerFor(*record.service).recordAttemptEnd(attempt.number, now);
+    m_context.admission.recordEnd(attempt.number, verdict == EndpointVerdict::Refused, now);
 }
 
 void AttemptLauncher::cancel(const RequestRecord &record, const RunningAttempt &attempt,
--- a/servers/serving/attempt_launcher.h
+++ b/servers/serving/attempt_launcher.h
@@ -2,6 +2,7 @@
 
 #include "core/identifiers.h"
 #include "core/instant.h"
+#include "servers/admission/admission_control.h"
 #include "servers/endpoints/endpoint_health_tracker.h"
 #include "servers/placement/placement.h"
 #include "servers/serving/request_record.h"
@@ -27,6 +28,10 @@
     std::optional<Instant> nextOpeningTime(const RequestRecord &record, Instant now) const;
     /// Chooses the endpoint at which a run continues after its KV cache has been moved.
     std::optional<Placement> placeMovedRun(const RequestRecord &record, Instant now) const;
+    /// Returns when another try makes sense if the first attempt of the request may not start, as
+    /// the engines of its service have no place for it.
+    std::optional<Instant> refuseForPlaces(const RequestRecord &record, const Placement &placement,
+                                           Instant now);
     void startAttempt(RequestRecord &record, const Placement &placement, Instant now);
     /// Reports the end of an attempt to the placer and the endpoint health tracker. Does not cancel
     /// the attempt.
@@ -48,6 +53,10 @@
                 Instant now);
     /// Whether the endpoint has the service and a software version that the request can run at.
     bool hasSoftwareFor(const RequestRecord &record, const Endpoint &endpoint) const;
+    /// Whether the request needs a place that requests share by their urgency and account.
+    bool sharesPlaces(const RequestRecord &record) const;
+    PlaceRequest placeRequest(const RequestRecord &record, const Placement &placement) const;
+    EngineUse engineUse(const Service &service, Instant now) const;
     std::vector<const Endpoint *> candidates(const RequestRecord &record, Instant now) const;
 
     ServingContext &m_context;
--- a/servers/serving/request_admission.cpp
+++ b/servers/serving/request_admission.cpp
@@ -113,17 +113,19 @@
         const double charge = requestCharge(arrival, record.account->allowance);
         const auto priority =
                 record.isTakeUp() ? AdmissionPriority::Continued : AdmissionPriority::New;
-        if (const auto retryAt =
-                    context.allowances.admit(record.account->name, charge, now, priority)) {
+        if (const auto retryAt = context.allowances.admit(record.account->name, charge, now,
+                                                          priority, record.route->priority)) {
             const AllowanceState state = context.allowances.state(record.account->name, now);
             context.log.write(LogLevel::Warning, "allowance-exceeded", arrival.callerId,
                               {{"account", record.account->name.view()},
+                               {"urgency", toLog(std::uint64_t{record.route->priority})},
                                {"charge", charge},
                                {"limit", state.limit},
                                {"used", state.used},
                                {"used_here", state.usedHere},
                                {"reserved", state.reserved},
                                {"young", state.isWarmingUp}});
+            context.metrics.recordAdmissionRefusal("allowance", record.route->priority);
             return {.error = ErrorKind::ShareExceeded, .retryAt = retryAt};
         }
         record.charge = charge;
--- a/servers/serving/request_record.h
+++ b/servers/serving/request_record.h
@@ -98,6 +98,11 @@
     {
         return sharedParts(arrival.promptParts);
     }
+    /// Priority of its account, or else of its route; 0 is the most urgent.
+    unsigned urgency() const
+    {
+        return account != nullptr && account->priority ? *account->priority : route->priority;
+    }
     bool isStream() const { return route->kind == RequestKind::Streaming; }
     /// Whether the caller takes up a stream that an earlier request of it began.
     bool isTakeUp() const
--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t engineSeed = 1;
 constexpr std::uint64_t serviceSeed = 2;
 constexpr std::uint64_t allowanceSeed = 3;
+constexpr std::uint64_t admissionSeed = 4;
 } // namespace
 
 ServingContext::ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
@@ -32,6 +33,7 @@
                                                     stableHash(incarnation, serviceSeed)))
     , repeatBudget(limits.repeats)
     , allowances(limits.allowances, stableHash(incarnation, allowanceSeed))
+    , admission(stableHash(incarnation, admissionSeed))
     , usageMeter(incarnation, limits.usageWindow)
 { }
 
--- a/servers/serving/serving_context.h
+++ b/servers/serving/serving_context.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "core/instant.h"
 #include "core/random_source.h"
+#include "servers/admission/admission_control.h"
 #include "servers/allowance/allowance_ledger.h"
 #include "servers/endpoints/endpoint_health_tracker.h"
 #include "servers/endpoints/endpoint_limits.h"
@@ -76,6 +77,7 @@
     std::unique_ptr<Placer> servicePlacer;
     RepeatBudget repeatBudget;
     AllowanceLedger allowances;
+    AdmissionControl admission;
     UsageMeter usageMeter;
     std::shared_ptr<const SiteConfiguration> configuration; ///< In force; null before the first.
     /// Whether the store, as last read, lacks a configuration that was published.
--- a/servers/serving/serving_core.cpp
+++ b/servers/serving/serving_core.cpp
@@ -58,10 +58,13 @@
 
 void ServingCore::startFirstAttempt(RequestRecord &record, Instant now)
 {
-    if (const auto placement = m_launcher.place(record, now))
-        startAttempt(record, *placement, now);
-    else
+    const auto placement = m_launcher.place(record, now);
+    if (!placement)
         endUnplaced(record, now);
+    else if (const auto retryAt = m_launcher.refuseForPlaces(record, *placement, now))
+        refuse(record, ErrorKind::Overloaded, retryAt, "places are short", now);
+    else
+        startAttempt(record, *placement, now);
 }
 
 void ServingCore::startAttempt(RequestRecord &record, const Placement &placement, Instant now)
--- a/servers/serving/serving_core_prompts.cpp
+++ b/servers/serving/serving_core_prompts.cpp
@@ -17,8 +17,10 @@
 void ServingCore::recordEvents(const RequestRecord &record, RunningAttempt &attempt,
                                const StreamProgress &progress, Instant now)
 {
-    if (!std::exchange(attempt.hasEvents, true))
+    if (!std::exchange(attempt.hasEvents, true)) {
         attempt.firstEventAt = progress.firstEventAt;
+        m_context.admission.recordFirstEvent(attempt.number, progress.firstEventAt);
+    }
     const bool isSound = progress.lastEventAt >= attempt.firstEventAt + answerBeginTime;
     if (isSound && !std::exchange(attempt.isSoundRun, true))
         recordSoundRun(record, now);
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -13,6 +13,9 @@
     RepeatLimit repeats;
     AllowanceRules allowances;
     FleetPolicy fleet;
+    /// Whether requests share the places of engines by their urgency and account if these are
+    /// short.
+    bool sharesPlaces = false;
     /// A configuration that has not been confirmed for longer may be outdated.
     Duration maxConfigurationAge = std::chrono::milliseconds(2000);
     /// Time within which a published configuration must be in force on all instances.
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -45,7 +45,12 @@
                                    .running = 2,
                                    .promptTokens = 300,
                                    .isSuspect = true}},
-                .accountUses = {{.account = AccountId("club"), .requested = 900, .admitted = 800}},
+                .accountUses = {{.account = AccountId("club"),
+                                 .requested = 900,
+                                 .admitted = 800,
+                                 .byUrgency = {{.urgency = 0, .requested = 200},
+                                               {.urgency = 2, .requested = 300},
+                                               {.urgency = 5, .requested = 400}}}},
                 .serviceWork = {{.service = ServiceId("model"),
                                  .promptTokens = 50,
                                  .outputTokens = 60}},
@@ -79,6 +84,10 @@
                        && received->isStoreBehind);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{300}, received->endpointLoads.at(0).promptTokens);
         CPPUNIT_ASSERT(received->endpointsAge == sent.endpointsAge);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, received->accountUses.at(0).byUrgency.size());
+        const Digest::UrgencyUse &leastUrgent = received->accountUses.at(0).byUrgency.at(2);
+        CPPUNIT_ASSERT_EQUAL(5U, leastUrgent.urgency);
+        CPPUNIT_ASSERT_EQUAL(400.0, leastUrgent.requested);
         CPPUNIT_ASSERT_EQUAL(sent.listEnd, received->listEnd);
         CPPUNIT_ASSERT_EQUAL(sent.listChecksum, received->listChecksum);
         CPPUNIT_ASSERT_EQUAL(sent.partCrashes.at(0).part, received->partCrashes.at(0).part);
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -21,6 +21,10 @@
     {
         refusals.push_back(kind);
     }
+    void recordAdmissionRefusal(std::string_view reason, unsigned /*urgency*/) override
+    {
+        admissionRefusals.emplace_back(reason);
+    }
     void recordPlatformCall(std::string_view /*call*/, std::string_view /*subject*/) override { }
     void recordEndpointUpdate(Duration /*age*/) override { }
     void recordTakeUp(std::string_view /*service*/, std::string_view outcome) override
@@ -42,6 +46,7 @@
     unsigned pauses = 0;
     unsigned attempts = 0;
     std::vector<ErrorKind> refusals;
+    std::vector<std::string> admissionRefusals;
     std::vector<std::string> takeUps;
     std::vector<StreamEndGround> judgedStreamEnds;
 };
