--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t serviceSeed = 2;
 constexpr std::uint64_t allowanceSeed = 3;
 constexpr std::uint64_t rolloutSeed = 4;
+constexpr std::uint64_t admissionSeed = 5;
 } // namespace
 
 ServingContext::ServingContext(const ServingLimits &servingLimits, ZoneId ownZone,
@@ -33,6 +34,7 @@
                                                     stableHash(incarnation, serviceSeed)))
     , repeatBudget(limits.repeats)
     , allowances(limits.allowances, stableHash(incarnation, allowanceSeed))
+    , admission(stableHash(incarnation, admissionSeed))
     , usageMeter(incarnation, limits.usageWindow)
     , rolloutTraffic(log, metrics, stableHash(incarnation, rolloutSeed))
     , rolloutEvidence(rolloutTraffic)
