Learn how fast endpoints are and how long runs take

Cause: EnginePlacer had one prompt reading speed for all engines of all services, counted prompt tokens of other instances as unread until their next digest, and a wait of 100 ms for each queued request. ServicePlacer knew one answer time an endpoint, from the instance's own answers only.

Change, with [placement] learns_costs (default off): EngineSpeeds, AnswerSpeeds, OutputPredictor, RemainingWork and PredictionErrors in servers/costs/. Digests carry new evidence about a few endpoints (field 30), and the remaining time of runs on nearly full engines (field 5 of a load).

--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -35,6 +35,7 @@
     ListEnd = 25,
     ListChecksum = 26,
     PartTrial = 27,
+    EndpointSpeed = 30,
 };
 
 enum Flag : std::uint32_t {
@@ -150,6 +151,9 @@
     case lengthDelimited(DigestField::EndpointLimit):
         digest.endpointLimits.push_back(readEndpointLimit(reader.get_message()));
         break;
+    case lengthDelimited(DigestField::EndpointSpeed):
+        digest.endpointSpeeds.push_back(readEndpointSpeed(reader.get_message()));
+        break;
     case varint(DigestField::ListEnd):
         digest.listEnd = reader.get_uint64();
         break;
@@ -212,6 +216,8 @@
     }
     for (const Digest::EndpointLimit &limit : digest.endpointLimits)
         writeEndpointLimit(limit, Writer(writer, tag(DigestField::EndpointLimit)));
+    for (const Digest::EndpointSpeed &speed : digest.endpointSpeeds)
+        writeEndpointSpeed(speed, Writer(writer, tag(DigestField::EndpointSpeed)));
     for (const std::string &address : digest.peerAddresses)
         writer.add_string(tag(DigestField::PeerAddress), address);
     writer.add_bool(tag(DigestField::End), true);
--- a/drivers/mesh/digest_records.cpp
+++ b/drivers/mesh/digest_records.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/mesh/wire_fields.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace monsoonsail {
@@ -10,6 +11,33 @@
 
 namespace {
 
+/// Steps in which the logarithms of speeds and their weights are sent.
+constexpr double logRatioSteps = 50;
+constexpr double weightSteps = 10;
+/// A larger logarithm, or weight, has no meaning.
+constexpr int maxLogRatioSteps = 1000;
+constexpr std::uint32_t maxWeightSteps = 10'000;
+
+std::int32_t logRatioOnWire(double logRatio)
+{
+    return static_cast<std::int32_t>(std::lround(logRatio * logRatioSteps));
+}
+
+std::uint32_t weightOnWire(double weight)
+{
+    return static_cast<std::uint32_t>(std::lround(weight * weightSteps));
+}
+
+double logRatioFromWire(std::int32_t steps)
+{
+    return std::clamp(steps, -maxLogRatioSteps, maxLogRatioSteps) / logRatioSteps;
+}
+
+double weightFromWire(std::uint32_t steps)
+{
+    return std::min(steps, maxWeightSteps) / weightSteps;
+}
+
 std::uint64_t rounded(double amount)
 {
     return amount <= 0 ? 0 : static_cast<std::uint64_t>(std::llround(amount));
@@ -25,6 +53,8 @@
         writer.add_uint32(tag(NestedField::Third), load.promptTokens);
     if (load.isSuspect)
         writer.add_bool(tag(NestedField::Fourth), true);
+    if (load.remainingMs > 0)
+        writer.add_uint32(tag(NestedField::Fifth), load.remainingMs);
 }
 
 Digest::EndpointLoad readLoad(NestedReader reader)
@@ -44,6 +74,9 @@
         case varint(NestedField::Fourth):
             load.isSuspect = reader.get_bool();
             break;
+        case varint(NestedField::Fifth):
+            load.remainingMs = reader.get_uint32();
+            break;
         default:
             reader.skip();
         }
@@ -192,4 +225,44 @@
     return limit;
 }
 
+void writeEndpointSpeed(const Digest::EndpointSpeed &speed, Writer writer)
+{
+    writer.add_fixed32(tag(NestedField::First), speed.endpoint.value());
+    if (const std::uint32_t weight = weightOnWire(speed.readingWeight); weight > 0) {
+        writer.add_sint32(tag(NestedField::Second), logRatioOnWire(speed.readingLogRatio));
+        writer.add_uint32(tag(NestedField::Third), weight);
+    }
+    if (const std::uint32_t weight = weightOnWire(speed.decodingWeight); weight > 0) {
+        writer.add_sint32(tag(NestedField::Fourth), logRatioOnWire(speed.decodingLogRatio));
+        writer.add_uint32(tag(NestedField::Fifth), weight);
+    }
+}
+
+Digest::EndpointSpeed readEndpointSpeed(NestedReader reader)
+{
+    Digest::EndpointSpeed speed;
+    while (reader.next()) {
+        switch (reader.tag_and_type()) {
+        case fixed32(NestedField::First):
+            speed.endpoint = EndpointHash(reader.get_fixed32());
+            break;
+        case varint(NestedField::Second):
+            speed.readingLogRatio = logRatioFromWire(reader.get_sint32());
+            break;
+        case varint(NestedField::Third):
+            speed.readingWeight = weightFromWire(reader.get_uint32());
+            break;
+        case varint(NestedField::Fourth):
+            speed.decodingLogRatio = logRatioFromWire(reader.get_sint32());
+            break;
+        case varint(NestedField::Fifth):
+            speed.decodingWeight = weightFromWire(reader.get_uint32());
+            break;
+        default:
+            reader.skip();
+        }
+    }
+    return speed;
+}
+
 } // namespace monsoonsail
--- a/drivers/mesh/digest_records.h
+++ b/drivers/mesh/digest_records.h
@@ -17,7 +17,8 @@
     First = 1,
     Second = 2,
     Third = 3,
-    Fourth = 4
+    Fourth = 4,
+    Fifth = 5
 };
 
 using NestedReader = protozero::pbf_message<NestedField>;
@@ -53,5 +54,7 @@
 LastUse readLastUse(NestedReader reader);
 void writeEndpointLimit(const Digest::EndpointLimit &limit, protozero::pbf_writer writer);
 Digest::EndpointLimit readEndpointLimit(NestedReader reader);
+void writeEndpointSpeed(const Digest::EndpointSpeed &speed, protozero::pbf_writer writer);
+Digest::EndpointSpeed readEndpointSpeed(NestedReader reader);
 
 } // namespace monsoonsail
--- a/drivers/metrics/prometheus_metrics.cpp
+++ b/drivers/metrics/prometheus_metrics.cpp
@@ -21,6 +21,13 @@
     return bounds;
 }
 
+const prometheus::Histogram::BucketBoundaries &ratioBucketBounds()
+{
+    static const prometheus::Histogram::BucketBoundaries bounds{0.25, 0.5, 0.67, 0.8, 0.9, 1.1,
+                                                                1.25, 1.5, 2,    3,   5};
+    return bounds;
+}
+
 template <typename Series, typename Add>
 Series &findOrAddSeries(std::map<std::pair<std::string, std::string>, Series *> &seriesByLabels,
                         std::string_view first, std::string_view second, Add add)
@@ -79,6 +86,11 @@
                                          .Help("Time for which peers had a later configuration "
                                                "before one took effect here, by its source")
                                          .Register(m_registry))
+    , m_predictionErrorFamily(prometheus::BuildHistogram()
+                                      .Name("monsoonsail_prediction_error_ratio")
+                                      .Help("Actual divided by predicted time from the placement "
+                                            "of a request to its first event or its end")
+                                      .Register(m_registry))
     , m_endpointUpdateAge(prometheus::BuildHistogram()
                                   .Name("monsoonsail_endpoint_update_seconds")
                                   .Help("Age of changes of endpoints at the sending of the "
@@ -208,6 +220,21 @@
             .Observe(toSeconds(behindFor));
 }
 
+void PrometheusMetrics::recordPredictionError(std::string_view service, std::string_view route,
+                                              PredictedPoint point, double ratio)
+{
+    const bool isFirst = point == PredictedPoint::FirstEvent;
+    findOrAddSeries(
+            isFirst ? m_firstEventErrors : m_endErrors, service, route,
+            [&]() -> auto & {
+                return m_predictionErrorFamily.Add({{"service", std::string(service)},
+                                                    {routeLabel, std::string(route)},
+                                                    {"point", isFirst ? "first-event" : "end"}},
+                                                   ratioBucketBounds());
+            })
+            .Observe(ratio);
+}
+
 void PrometheusMetrics::recordLoopDelay(Duration delay)
 {
     m_loopDelay.Observe(toSeconds(delay));
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -32,6 +32,8 @@
     void recordPlatformCall(std::string_view call, std::string_view subject) override;
     void recordEndpointUpdate(Duration age) override;
     void recordConfiguration(std::string_view source, Duration behindFor) override;
+    void recordPredictionError(std::string_view service, std::string_view route,
+                               PredictedPoint point, double ratio) override;
     /// Records how late a periodic task of the control thread ran.
     void recordLoopDelay(Duration delay);
 
@@ -58,6 +60,7 @@
     Counters &m_tooLongAnswerFamily;
     Counters &m_platformCallFamily;
     Histograms &m_configurationDelayFamily;
+    Histograms &m_predictionErrorFamily;
     prometheus::Histogram &m_endpointUpdateAge;
     prometheus::Histogram &m_loopDelay;
     SeriesMap<prometheus::Histogram> m_requestTimes;
@@ -70,6 +73,8 @@
     SeriesMap<prometheus::Counter> m_tooLongAnswers;
     SeriesMap<prometheus::Counter> m_platformCalls;
     SeriesMap<prometheus::Histogram> m_configurationDelays;
+    SeriesMap<prometheus::Histogram> m_firstEventErrors;
+    SeriesMap<prometheus::Histogram> m_endErrors;
     std::map<std::string, prometheus::Gauge *> m_gauges;
 };
 
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -74,6 +74,9 @@
         fleet.onDemandUse = table.number("on_demand_use", 0.01, 1, fleet.onDemandUse);
         fleet.slotUse = table.number("slot_use", 0.01, 1, fleet.slotUse);
     });
+    reader.readOptionalTable("placement", [&settings](TableReader &table) {
+        settings.limits.learnsCosts = table.boolean("learns_costs", false);
+    });
     settings.limits.heartbeatInterval =
             fromSeconds(reader.number("heartbeat_ms", 1, maxMs, 1200) / 1000);
     settings.limits.drainTime = fromSeconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -10,6 +10,9 @@
 namespace {
 /// A peer repeats its suspicions in every digest. They end this long after its next one is due.
 constexpr Duration suspicionMargin = std::chrono::milliseconds(450);
+/// Bounds of what the speeds of endpoints add to a digest, so that it grows by a tenth.
+constexpr std::size_t minSharedSpeeds = 3;
+constexpr std::size_t loadsPerSharedSpeed = 10;
 } // namespace
 
 Duration ControlPlane::digestInterval() const
@@ -56,6 +59,12 @@
             == digest.endpointLoads.end())
             digest.endpointLoads.push_back({.endpoint = endpoint, .isSuspect = true});
     }
+    const std::size_t maxSpeeds =
+            minSharedSpeeds + digest.endpointLoads.size() / loadsPerSharedSpeed;
+    digest.endpointSpeeds = m_context.servicePlacer->takeUnsentSpeeds(maxSpeeds / 2);
+    for (const Digest::EndpointSpeed &speed :
+         m_context.enginePlacer->takeUnsentSpeeds(maxSpeeds - digest.endpointSpeeds.size()))
+        digest.endpointSpeeds.push_back(speed);
     std::vector<std::string> targets = m_mesh.targets(now);
     const std::vector<std::string> holders = m_mesh.dutyHolders(now);
     std::erase_if(targets, [&holders](const std::string &address) {
--- a/servers/mesh/digest.h
+++ b/servers/mesh/digest.h
@@ -29,6 +29,18 @@
         std::uint32_t running = 0;      ///< Requests sent to it that have not finished.
         std::uint32_t promptTokens = 0; ///< Prompt tokens that it has yet to process.
         bool isSuspect = false;         ///< Whether it fell silent or refused work of the sender.
+        /// Expected time until all of them have finished, added up; 0 if it is not reported.
+        std::uint32_t remainingMs = 0;
+    };
+    /// What the sender has measured about an endpoint since it last reported it: the mean logarithm
+    /// of the actual time relative to a reference that is the same for all senders, and its weight.
+    struct EndpointSpeed
+    {
+        EndpointHash endpoint;
+        double readingLogRatio = 0; ///< Of prompts; of whole answers of a plain endpoint.
+        double readingWeight = 0;
+        double decodingLogRatio = 0;
+        double decodingWeight = 0;
     };
     /// Use of a client account's allowance, in the allowance's unit.
     struct AccountUse
@@ -116,6 +128,7 @@
     std::vector<PartTrial> partTrials; ///< Only those in progress.
     std::vector<LiveEndpoint> liveEndpoints;
     std::vector<EndpointLimit> endpointLimits;
+    std::vector<EndpointSpeed> endpointSpeeds;
     /// Age of the sender's knowledge of the configuration and of the endpoints.
     Duration configurationAge{};
     Duration endpointsAge{};
--- a/servers/placement/engine_placer.cpp
+++ b/servers/placement/engine_placer.cpp
@@ -16,13 +16,6 @@
 constexpr double newSpeedWeight = 0.1;
 /// With shorter prompts, the fixed time would dominate the measurement.
 constexpr std::uint32_t minMeasuredTokens = 3000;
-/// Part of the time to the first token that does not depend on the load: scheduling, the first step
-/// and the network round trip.
-constexpr double fixedFirstTokenMs = 12;
-/// Increase of the time to the first token for each running request, which makes every step longer.
-constexpr double runningRequestMs = 1;
-/// Wait for a batch slot for each request in the queue; about a tenth of the duration of a stream.
-constexpr double queuedRequestMs = 100;
 /// Cost of reading 1,000 tokens again that another engine has cached, and of copying them, as the
 /// increase of the time to the first token that is accepted to avoid it. The platform's price of
 /// reading is seven times higher than that of copying.
@@ -48,6 +41,8 @@
 /// Limit on the random cost that spreads requests over engines of equal cost.
 constexpr double maxTieBreakMs = 4;
 constexpr Duration expiryInterval = std::chrono::seconds(5);
+/// Part of the batch slots that must be taken for the remaining time of runs to be reported.
+constexpr double minReportedFullness = 0.75;
 
 std::uint32_t tokensOf(std::span<const PromptPart> parts)
 {
@@ -82,11 +77,12 @@
 } // namespace
 
 EnginePlacer::EnginePlacer(const EndpointHealthTracker &endpointHealth, WorkMeter &workMeter,
-                           std::uint64_t seed)
+                           std::uint64_t seed, std::unique_ptr<EngineCosts> costs)
     : m_endpointHealth(endpointHealth)
     , m_workMeter(workMeter)
     , m_random(seed)
     , m_promptTokensPerMs(initialTokensPerMs)
+    , m_costs(std::move(costs))
 { }
 
 std::optional<Placement> EnginePlacer::place(const PlacementRequest &request,
@@ -96,14 +92,18 @@
     if (candidates.empty())
         return std::nullopt;
     m_peerLoads.expire(now);
+    if (m_costs)
+        m_costs->update(now);
     const std::vector<PrefixHash> prefixes = sharedPrefixes(request.parts);
     const Endpoint *preferred = nullptr;
     const Endpoint *second = nullptr;
     if (!prefixes.empty())
         std::tie(preferred, second) = preferredEngines(prefixes.back(), candidates);
+    const ServiceHash serviceHash = request.service->name;
     Candidate best;
     for (const Endpoint *engine : candidates) {
-        const Candidate candidate = evaluate(request, *engine, prefixes, engine == preferred, now);
+        const Candidate candidate =
+                evaluate(request, *engine, prefixes, engine == preferred, serviceHash, now);
         if (best.engine == nullptr || candidate.cost < best.cost)
             best = candidate;
     }
@@ -122,18 +122,22 @@
     const bool isCompatible =
             source != nullptr && source->listing.software == best.engine->listing.software;
     if (isCompatible && !isCached && sharedTokens >= minCopiedTokens
-        && request.service->engine->canMoveRuns && !m_endpointHealth.isSuspect(source->id, now))
+        && request.service->engine->canMoveRuns && !m_endpointHealth.isSuspect(source->id, now)) {
         placement.cache = {.kind = CacheSource::Kind::Copied, .address = source->listing.address};
+        placement.copiedTokens = std::min(best.missingTokens, best.uncachedTokens);
+    }
     return placement;
 }
 
 EnginePlacer::Candidate EnginePlacer::evaluate(const PlacementRequest &request,
                                                const Endpoint &engine,
                                                std::span<const PrefixHash> prefixes,
-                                               bool isPreferred, Instant now)
+                                               bool isPreferred, ServiceHash serviceHash,
+                                               Instant now)
 {
     const Load own = ownLoad(engine.id);
-    const PeerLoads::Load peers = m_peerLoads.loadOf(engine.id);
+    const EndpointHash hash = engine.id;
+    const PeerLoads::Load peers = m_peerLoads.loadOf(hash);
     const std::size_t cachedPrefixes = m_promptCaches.cachedPrefixCount(engine.id, prefixes, now);
     const std::uint32_t sharedTokens = tokensOf(request.parts.first(prefixes.size()));
     const std::uint32_t cachedTokens =
@@ -143,19 +147,29 @@
                                 - std::min(request.promptTokens, cachedTokens)};
     const bool isCopied = request.service->engine->canMoveRuns;
     const std::uint32_t missingTokens = sharedTokens - cachedTokens;
-    const double readTokens = static_cast<double>(own.promptTokens + peers.promptTokens)
-            + candidate.uncachedTokens - (isCopied ? missingTokens : 0);
+    candidate.missingTokens = missingTokens;
+    const double newTokens =
+            static_cast<double>(candidate.uncachedTokens) - (isCopied ? missingTokens : 0);
     const auto running = static_cast<double>(own.running + peers.running);
-    const double queuedRequests = std::max(0.0, running + 1 - request.service->engine->batchSlots);
-    candidate.firstTokenMs = fixedFirstTokenMs + readTokens / m_promptTokensPerMs
-            + running * runningRequestMs + queuedRequests * queuedRequestMs;
+    const unsigned batchSlots = request.service->engine->batchSlots;
+    const EngineCosts::Prediction prediction = m_costs
+            ? m_costs->predict({.engine = hash,
+                                .engineName = engine.id.view(),
+                                .service = serviceHash,
+                                .newTokens = newTokens,
+                                .running = running,
+                                .batchSlots = batchSlots,
+                                .reported = peers.work},
+                               now)
+            : predictAlike(own, peers, newTokens, batchSlots);
+    candidate.firstTokenMs = prediction.firstTokenMs;
     candidate.cost = candidate.firstTokenMs
             + missingTokens * (isCopied ? copyCostMsPer1000Tokens : rereadCostMsPer1000Tokens)
                     / 1000;
     const double plannedMs =
             plannedGoalFraction * std::max(0.0, toMs(request.firstByteGoalAt - now));
     candidate.cost += latenessCostFactor * std::max(0.0, candidate.firstTokenMs - plannedMs);
-    const double readMs = readTokens / m_promptTokensPerMs;
+    const double readMs = prediction.readMs;
     if (request.pauseGoal > Duration::zero()) {
         const double excessMs = readMs - maxReadPauseFraction * toMs(request.pauseGoal);
         candidate.cost += std::max(0.0, excessMs) * running * pausedStreamCostFactor;
@@ -164,15 +178,30 @@
         candidate.cost += newConnectionCostMs;
     if (m_endpointHealth.isSuspect(engine.id, now))
         candidate.cost += suspectCostMs;
-    candidate.cost += maxTieBreakMs * m_random.fraction();
+    candidate.cost += std::max(maxTieBreakMs, prediction.spreadMs) * m_random.fraction();
     return candidate;
 }
 
+EngineCosts::Prediction EnginePlacer::predictAlike(const Load &own, const PeerLoads::Load &peers,
+                                                   double newTokens, unsigned batchSlots) const
+{
+    const double readTokens =
+            static_cast<double>(own.promptTokens + peers.promptTokens) + newTokens;
+    const auto running = static_cast<double>(own.running + peers.running);
+    const double queuedRequests = std::max(0.0, running + 1 - batchSlots);
+    return {.readMs = readTokens / m_promptTokensPerMs,
+            .firstTokenMs = fixedFirstTokenMs + readTokens / m_promptTokensPerMs
+                    + running * runningRequestMs + queuedRequests * queuedRequestMs};
+}
+
 void EnginePlacer::recordAttemptStart(AttemptNumber attempt, const PlacementRequest &request,
                                       const Placement &placement, Instant now)
 {
     const EndpointId &engine = placement.endpoint;
     Load &load = m_loads[engine];
+    load.batchSlots = request.service->engine->batchSlots;
+    if (m_costs)
+        beginRun(attempt, request, placement, load, now);
     m_runs[attempt] = {.engine = engine,
                        .service = request.service->name,
                        .uncachedTokens = placement.uncachedTokens,
@@ -192,6 +221,31 @@
     }
 }
 
+void EnginePlacer::beginRun(AttemptNumber attempt, const PlacementRequest &request,
+                            const Placement &placement, const Load &own, Instant now)
+{
+    const PeerLoads::Load peers = m_peerLoads.loadOf(placement.endpoint);
+    const Service &service = *request.service;
+    const std::uint32_t readTokens = placement.uncachedTokens - placement.copiedTokens;
+    m_costs->beginRun(attempt,
+                      {.engine = placement.endpoint,
+                       .engineName = placement.endpoint.view(),
+                       .service = service.name,
+                       .newTokens = static_cast<double>(readTokens),
+                       .running = static_cast<double>(own.running + peers.running),
+                       .batchSlots = service.engine->batchSlots,
+                       .reported = peers.work},
+                      {.service = service.name.view(),
+                       .route = request.route,
+                       .account = request.account,
+                       .hintedTokens = request.hintedTokens,
+                       .maxOutputTokens = request.maxOutputTokens,
+                       .tokensPerEvent = service.engine->tokensPerEvent,
+                       .uncachedTokens = readTokens,
+                       .batchSlots = service.engine->batchSlots},
+                      now);
+}
+
 void EnginePlacer::recordProgress(AttemptNumber attempt, std::uint32_t events, Instant now)
 {
     const auto entry = m_runs.find(attempt);
@@ -199,6 +253,8 @@
         return;
     Run &run = entry->second;
     Load &load = m_loads[run.engine];
+    if (m_costs)
+        m_costs->recordEvents(attempt, events, now);
     if (run.uncachedTokens > 0) {
         updateReadSpeed(run, now);
         load.promptTokens -= std::exchange(run.uncachedTokens, 0);
@@ -221,8 +277,16 @@
             && entry->second.lastUsed + keptConnectionTime > now;
 }
 
+void EnginePlacer::recordAnswer(AttemptNumber attempt, Instant now)
+{
+    if (m_costs)
+        m_costs->endRun(attempt, true, now);
+}
+
 void EnginePlacer::recordAttemptEnd(AttemptNumber attempt, Instant now)
 {
+    if (m_costs)
+        m_costs->endRun(attempt, false, now);
     const auto entry = m_runs.find(attempt);
     if (entry == m_runs.end())
         return;
@@ -244,11 +308,15 @@
 {
     m_promptCaches.removeEngine(endpoint);
     m_connections.erase(endpoint);
+    if (m_costs)
+        m_costs->removeEngine(endpoint);
 }
 
-void EnginePlacer::applyPeerDigest(const Peer &peer, Instant /*now*/)
+void EnginePlacer::applyPeerDigest(const Peer &peer, Instant now)
 {
     m_peerLoads.applyPeerDigest(peer);
+    if (m_costs)
+        m_costs->applyPeerDigest(peer, now);
 }
 
 double EnginePlacer::runningRequests(const EndpointId &endpoint) const
@@ -263,11 +331,25 @@
         loads.push_back({.endpoint = engine,
                          .running = load.running,
                          .promptTokens = load.promptTokens,
-                         .isSuspect = m_endpointHealth.isSuspectLocally(engine, now)});
+                         .isSuspect = m_endpointHealth.isSuspectLocally(engine, now),
+                         .remainingMs = reportedRemainingMs(engine, load)});
     }
     return loads;
 }
 
+// The remaining time only matters when requests have to wait for a batch slot.
+std::uint32_t EnginePlacer::reportedRemainingMs(const EndpointId &engine, const Load &load) const
+{
+    if (!m_costs || runningRequests(engine) < minReportedFullness * load.batchSlots)
+        return 0;
+    return static_cast<std::uint32_t>(m_costs->ownRemainingMs(engine));
+}
+
+std::vector<Digest::EndpointSpeed> EnginePlacer::takeUnsentSpeeds(std::size_t maxCount)
+{
+    return m_costs ? m_costs->takeUnsentSpeeds(maxCount) : std::vector<Digest::EndpointSpeed>();
+}
+
 EnginePlacer::Load EnginePlacer::ownLoad(const EndpointId &engine) const
 {
     const auto entry = m_loads.find(engine);
--- a/servers/placement/peer_loads.cpp
+++ b/servers/placement/peer_loads.cpp
@@ -49,6 +49,11 @@
         Load &total = m_totals[load.endpoint];
         total.running += load.running;
         total.promptTokens += load.promptTokens;
+        total.work.unread.add(load.promptTokens, peer.receivedAt);
+        if (load.remainingMs > 0) {
+            total.work.remainingMs += load.remainingMs;
+            total.work.timedRuns += load.running;
+        }
     }
 }
 
@@ -60,6 +65,11 @@
             continue;
         total->second.running -= load.running;
         total->second.promptTokens -= load.promptTokens;
+        total->second.work.unread.remove(load.promptTokens, peer.receivedAt);
+        if (load.remainingMs > 0) {
+            total->second.work.remainingMs -= load.remainingMs;
+            total->second.work.timedRuns -= load.running;
+        }
         if (total->second == Load())
             m_totals.erase(total);
     }
--- a/servers/placement/peer_loads.h
+++ b/servers/placement/peer_loads.h
@@ -3,6 +3,7 @@
 #include "core/identifiers.h"
 #include "core/instant.h"
 #include "core/name_hash.h"
+#include "servers/costs/remaining_work.h"
 #include "servers/mesh/mesh.h"
 
 #include <cstdint>
@@ -21,6 +22,7 @@
     {
         std::uint64_t running = 0;
         std::uint64_t promptTokens = 0;
+        ReportedWork work; ///< The same prompt tokens, and the remaining time of the runs.
 
         bool operator==(const Load &) const = default;
     };
--- a/servers/placement/placer.h
+++ b/servers/placement/placer.h
@@ -7,6 +7,7 @@
 #include "servers/mesh/mesh.h"
 #include "servers/placement/placement.h"
 
+#include <cstddef>
 #include <optional>
 #include <span>
 #include <vector>
@@ -29,6 +30,8 @@
                                     const Placement &placement, Instant now) = 0;
     /// Records events of a stream.
     virtual void recordProgress(AttemptNumber attempt, std::uint32_t events, Instant now) = 0;
+    /// Records that the whole answer of an attempt has arrived, before the attempt's end.
+    virtual void recordAnswer(AttemptNumber /*attempt*/, Instant /*now*/) { }
     virtual void recordAttemptEnd(AttemptNumber attempt, Instant now) = 0;
     virtual void removeEndpoint(const EndpointId &endpoint) = 0;
 
@@ -38,6 +41,12 @@
     virtual double runningRequests(const EndpointId &endpoint) const = 0;
     /// Returns the load that this instance has placed, for its digest.
     virtual std::vector<Digest::EndpointLoad> ownLoads(Instant now) const = 0;
+    /// Returns what this instance has measured about at most `maxCount` endpoints since they were
+    /// last returned, for its digest.
+    virtual std::vector<Digest::EndpointSpeed> takeUnsentSpeeds(std::size_t /*maxCount*/)
+    {
+        return {};
+    }
 };
 
 } // namespace monsoonsail
--- a/servers/placement/service_placer.h
+++ b/servers/placement/service_placer.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "servers/costs/answer_speeds.h"
 #include "servers/endpoints/endpoint_health_tracker.h"
 #include "servers/placement/peer_loads.h"
 #include "servers/placement/placer.h"
 
 #include <map>
+#include <memory>
 
 namespace monsoonsail {
 
@@ -15,7 +17,9 @@
 {
 public:
     /// `zone` is the availability zone of this instance. `endpointHealth` must outlive the placer.
-    ServicePlacer(ZoneId zone, const EndpointHealthTracker &endpointHealth, std::uint64_t seed);
+    /// Without `speeds`, the typical answer time of an endpoint is the same for all routes.
+    ServicePlacer(ZoneId zone, const EndpointHealthTracker &endpointHealth, std::uint64_t seed,
+                  std::unique_ptr<AnswerSpeeds> speeds = nullptr);
 
     std::optional<Placement> place(const PlacementRequest &request,
                                    std::span<const Endpoint *const> candidates,
@@ -23,14 +27,16 @@
     void recordAttemptStart(AttemptNumber attempt, const PlacementRequest &request,
                             const Placement &placement, Instant now) override;
     void recordProgress(AttemptNumber attempt, std::uint32_t events, Instant now) override;
+    void recordAnswer(AttemptNumber attempt, Instant now) override;
     void recordAttemptEnd(AttemptNumber attempt, Instant now) override;
-    void removeEndpoint(const EndpointId &endpoint) override { m_runningRequests.erase(endpoint); }
+    void removeEndpoint(const EndpointId &endpoint) override;
     void applyPeerDigest(const Peer &peer, Instant now) override;
     double runningRequests(const EndpointId &endpoint) const override;
     std::vector<Digest::EndpointLoad> ownLoads(Instant now) const override;
+    std::vector<Digest::EndpointSpeed> takeUnsentSpeeds(std::size_t maxCount) override;
 
 private:
-    double cost(const Endpoint &endpoint, Instant now);
+    double cost(const PlacementRequest &request, const Endpoint &endpoint, Instant now);
 
     const ZoneId m_zone;
     const EndpointHealthTracker &m_endpointHealth;
@@ -38,6 +44,7 @@
     PeerLoads m_peerLoads;
     std::map<EndpointId, unsigned> m_runningRequests;
     std::map<AttemptNumber, EndpointId> m_attemptEndpoints;
+    std::unique_ptr<AnswerSpeeds> m_speeds; ///< Null if costs are not learned.
 };
 
 } // namespace monsoonsail
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -10,6 +10,12 @@
 
 namespace monsoonsail {
 
+/// What a prediction was made for.
+enum class PredictedPoint {
+    FirstEvent,
+    End, ///< Of the answer.
+};
+
 /// Records measurements of requests and calls for the metrics.
 class ServingMetrics
 {
@@ -41,6 +47,9 @@
     /// Records a configuration that took effect. `source` says where its text came from;
     /// `behindFor` is the time for which peers had a later one than this instance.
     virtual void recordConfiguration(std::string_view source, Duration behindFor) = 0;
+    /// Records the actual divided by the predicted time from the placement of a request to a point.
+    virtual void recordPredictionError(std::string_view service, std::string_view route,
+                                       PredictedPoint point, double ratio) = 0;
 };
 
 } // namespace monsoonsail
--- a/servers/serving/attempt_launcher.cpp
+++ b/servers/serving/attempt_launcher.cpp
@@ -36,7 +36,11 @@
                     : std::min(arrival.maxOutputTokens, defaultOutputTokens),
             .parts = arrival.promptParts,
             .firstByteGoalAt = arrival.arrivedAt + record.route->responseGoal,
-            .pauseGoal = record.route->pauseGoal};
+            .pauseGoal = record.route->pauseGoal,
+            .route = record.route->name,
+            .account = record.account != nullptr ? record.account->name.view() : std::string_view(),
+            .hintedTokens = arrival.expectedOutputTokens,
+            .maxOutputTokens = arrival.maxOutputTokens};
 }
 
 /// Returns the endpoints of the runs, separated by commas. Those between which a run was moved are
@@ -211,7 +215,10 @@
                                 EndpointVerdict verdict, Instant now)
 {
     m_context.endpointHealth.recordAttemptEnd(attempt.number, verdict, now);
-    m_context.placerFor(*record.service).recordAttemptEnd(attempt.number, now);
+    Placer &placer = m_context.placerFor(*record.service);
+    if (verdict == EndpointVerdict::Succeeded)
+        placer.recordAnswer(attempt.number, now);
+    placer.recordAttemptEnd(attempt.number, now);
 }
 
 void AttemptLauncher::cancel(const RequestRecord &record, const RunningAttempt &attempt,
--- a/servers/serving/serving_context.cpp
+++ b/servers/serving/serving_context.cpp
@@ -26,10 +26,12 @@
     , random(stableHash(incarnation))
     , promptQuarantine(log)
     , workMeter(limits.fleet)
-    , enginePlacer(std::make_unique<EnginePlacer>(endpointHealth, workMeter,
-                                                  stableHash(incarnation, engineSeed)))
-    , servicePlacer(std::make_unique<ServicePlacer>(zone, endpointHealth,
-                                                    stableHash(incarnation, serviceSeed)))
+    , enginePlacer(std::make_unique<EnginePlacer>(
+              endpointHealth, workMeter, stableHash(incarnation, engineSeed),
+              limits.learnsCosts ? std::make_unique<EngineCosts>(metrics, log) : nullptr))
+    , servicePlacer(std::make_unique<ServicePlacer>(
+              zone, endpointHealth, stableHash(incarnation, serviceSeed),
+              limits.learnsCosts ? std::make_unique<AnswerSpeeds>(metrics) : nullptr))
     , repeatBudget(limits.repeats)
     , allowances(limits.allowances, stableHash(incarnation, allowanceSeed))
     , usageMeter(incarnation, limits.usageWindow)
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -13,6 +13,8 @@
     RepeatLimit repeats;
     AllowanceRules allowances;
     FleetPolicy fleet;
+    /// Whether placement uses what is learned about the speed of endpoints and the length of runs.
+    bool learnsCosts = false;
     /// A configuration that has not been confirmed for longer may be outdated.
     Duration maxConfigurationAge = std::chrono::milliseconds(2000);
     /// Time within which a published configuration must be in force on all instances.
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -44,7 +44,8 @@
                 .endpointLoads = {{.endpoint = EndpointId("i-1/17"),
                                    .running = 2,
                                    .promptTokens = 300,
-                                   .isSuspect = true}},
+                                   .isSuspect = true,
+                                   .remainingMs = 1900}},
                 .accountUses = {{.account = AccountId("club"), .requested = 900, .admitted = 800}},
                 .serviceWork = {{.service = ServiceId("model"),
                                  .promptTokens = 50,
@@ -61,6 +62,11 @@
                                     .perSecond = 1.5,
                                     .age = milliseconds(60)},
                                    {.endpoint = EndpointId("i-5/17")}},
+                .endpointSpeeds = {{.endpoint = EndpointId("i-6/17"),
+                                    .readingLogRatio = -0.36,
+                                    .readingWeight = 2.5,
+                                    .decodingLogRatio = 0.52,
+                                    .decodingWeight = 1}},
                 .configurationAge = milliseconds(40),
                 .endpointsAge = milliseconds(30),
                 .peerAddresses = {"10.0.0.8:7600"}};
@@ -78,6 +84,13 @@
         CPPUNIT_ASSERT(received->refusesNewRequests && received->isStopping && received->isReader
                        && received->isStoreBehind);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{300}, received->endpointLoads.at(0).promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1900}, received->endpointLoads.at(0).remainingMs);
+        const Digest::EndpointSpeed &speed = received->endpointSpeeds.at(0);
+        CPPUNIT_ASSERT(speed.endpoint == EndpointId("i-6/17"));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(-0.36, speed.readingLogRatio, 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, speed.readingWeight, 0.05);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.52, speed.decodingLogRatio, 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1, speed.decodingWeight, 0.05);
         CPPUNIT_ASSERT(received->endpointsAge == sent.endpointsAge);
         CPPUNIT_ASSERT_EQUAL(sent.listEnd, received->listEnd);
         CPPUNIT_ASSERT_EQUAL(sent.listChecksum, received->listChecksum);
--- a/tests/drivers/prometheus_metrics_test.cpp
+++ b/tests/drivers/prometheus_metrics_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(PrometheusMetricsTest);
     CPPUNIT_TEST(answersFillHistogramsByRouteAndAccount);
     CPPUNIT_TEST(delaysFillHistograms);
+    CPPUNIT_TEST(predictionErrorsFillHistograms);
     CPPUNIT_TEST(refusalsAreCountedByAccountAndKind);
     CPPUNIT_TEST(gaugeKeepsItsNewestValue);
     CPPUNIT_TEST_SUITE_END();
@@ -49,6 +50,18 @@
         assertHas(R"(monsoonsail_loop_delay_seconds_bucket{le="0.01"} 1)");
     }
 
+    void predictionErrorsFillHistograms()
+    {
+        m_metrics.recordPredictionError("model", "review", PredictedPoint::FirstEvent, 1.4);
+        m_metrics.recordPredictionError("model", "review", PredictedPoint::End, 0.7);
+        assertHas(R"(monsoonsail_prediction_error_ratio_bucket{point="first-event",)"
+                  R"(route="review",service="model",le="1.25"} 0)");
+        assertHas(R"(monsoonsail_prediction_error_ratio_bucket{point="first-event",)"
+                  R"(route="review",service="model",le="1.5"} 1)");
+        assertHas(R"(monsoonsail_prediction_error_ratio_count{point="end",)"
+                  R"(route="review",service="model"} 1)");
+    }
+
     void refusalsAreCountedByAccountAndKind()
     {
         m_metrics.recordRefusal("club", ErrorKind::NoEndpoint);
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -33,6 +33,11 @@
     }
     void recordTooLongAnswer(std::string_view /*service*/) override { }
     void recordConfiguration(std::string_view /*source*/, Duration /*behindFor*/) override { }
+    void recordPredictionError(std::string_view /*service*/, std::string_view /*route*/,
+                               PredictedPoint point, double ratio) override
+    {
+        (point == PredictedPoint::FirstEvent ? firstEventRatios : endRatios).push_back(ratio);
+    }
     void recordAttempt(std::string_view /*service*/, AttemptResult /*result*/) override
     {
         ++attempts;
@@ -44,6 +49,8 @@
     std::vector<ErrorKind> refusals;
     std::vector<std::string> takeUps;
     std::vector<StreamEndGround> judgedStreamEnds;
+    std::vector<double> firstEventRatios;
+    std::vector<double> endRatios;
 };
 
 } // namespace monsoonsail
