--- a/drivers/mesh/digest_codec.cpp
+++ b/drivers/mesh/digest_codec.cpp
@@ -45,6 +45,7 @@
     PartTrial = 27,
     Rollout = 28,
     VersionEvidence = 29,
+    EndpointSpeed = 30,
 };
 
 enum Flag : std::uint32_t {
@@ -166,6 +167,9 @@
             evidence && digest.versionEvidence.size() < maxVersionEvidence)
             digest.versionEvidence.push_back(std::move(*evidence));
         break;
+    case lengthDelimited(DigestField::EndpointSpeed):
+        digest.endpointSpeeds.push_back(readEndpointSpeed(reader.get_message()));
+        break;
     case varint(DigestField::ListEnd):
         digest.listEnd = reader.get_uint64();
         break;
@@ -230,6 +234,8 @@
         writeRollout(state, Writer(writer, tag(DigestField::Rollout)));
     for (const VersionEvidence &evidence : digest.versionEvidence)
         writeVersionEvidence(evidence, Writer(writer, tag(DigestField::VersionEvidence)));
+    for (const Digest::EndpointSpeed &speed : digest.endpointSpeeds)
+        writeEndpointSpeed(speed, Writer(writer, tag(DigestField::EndpointSpeed)));
     for (const std::string &address : digest.peerAddresses)
         writer.add_string(tag(DigestField::PeerAddress), address);
     writer.add_bool(tag(DigestField::End), true);
--- a/drivers/metrics/prometheus_metrics.h
+++ b/drivers/metrics/prometheus_metrics.h
@@ -38,6 +38,8 @@
     void recordRolloutPhase(std::string_view service, std::string_view phase) override;
     /// Records callers that were refused or whose connections were closed for this reason.
     void recordCallerFaults(std::string_view reason, std::uint64_t count);
+    void recordPredictionError(std::string_view service, std::string_view route,
+                               PredictedPoint point, double ratio) override;
     /// Records how late a periodic task of the control thread ran.
     void recordLoopDelay(Duration delay);
 
@@ -68,6 +70,7 @@
     Counters &m_rolloutPhaseFamily;
     Counters &m_callerFaultFamily;
     Histograms &m_configurationDelayFamily;
+    Histograms &m_predictionErrorFamily;
     prometheus::Histogram &m_endpointUpdateAge;
     prometheus::Histogram &m_loopDelay;
     SeriesMap<prometheus::Histogram> m_requestTimes;
@@ -84,6 +87,8 @@
     SeriesMap<prometheus::Counter> m_rolloutPhases;
     SeriesMap<prometheus::Counter> m_callerFaults;
     SeriesMap<prometheus::Histogram> m_configurationDelays;
+    SeriesMap<prometheus::Histogram> m_firstEventErrors;
+    SeriesMap<prometheus::Histogram> m_endErrors;
     std::map<std::string, prometheus::Gauge *> m_gauges;
 };
 
--- a/drivers/settings/serving_settings.cpp
+++ b/drivers/settings/serving_settings.cpp
@@ -106,6 +106,9 @@
                                    .exposureSlack = table.number("exposure_slack", 0, maxRequests),
                                    .rollbackTime = fromMs(table.number("rollback_ms", 0, maxMs))};
     });
+    reader.readOptionalTable("placement", [&settings](TableReader &table) {
+        settings.limits.learnsCosts = table.boolean("learns_costs", false);
+    });
     settings.limits.heartbeatInterval =
             fromSeconds(reader.number("heartbeat_ms", 1, maxMs, 1200) / 1000);
     settings.limits.drainTime = fromSeconds(reader.number("drain_ms", 0, maxMs, 2000) / 1000);
--- a/main/monsoonsaild/control_plane_mesh.cpp
+++ b/main/monsoonsaild/control_plane_mesh.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t maxLocalRequestBytes = 1024UL * 1024;
 /// Part of the process's memory for the answers at each of these addresses that are not read.
 constexpr std::size_t localUnreadDivisor = 24;
+/// Bounds of what the speeds of endpoints add to a digest, so that it grows by a tenth.
+constexpr std::size_t minSharedSpeeds = 3;
+constexpr std::size_t loadsPerSharedSpeed = 10;
 } // namespace
 
 CallerLimits ControlPlane::localLimits() const
@@ -101,6 +104,12 @@
             == digest.endpointLoads.end())
             digest.endpointLoads.push_back({.endpoint = endpoint, .isSuspect = true});
     }
+    const std::size_t maxSpeeds =
+            minSharedSpeeds + digest.endpointLoads.size() / loadsPerSharedSpeed;
+    digest.endpointSpeeds = m_context.servicePlacer->takeUnsentSpeeds(maxSpeeds / 2);
+    for (const Digest::EndpointSpeed &speed :
+         m_context.enginePlacer->takeUnsentSpeeds(maxSpeeds - digest.endpointSpeeds.size()))
+        digest.endpointSpeeds.push_back(speed);
     std::vector<std::string> targets = m_mesh.targets(now);
     const std::vector<std::string> holders = m_mesh.dutyHolders(now);
     std::erase_if(targets, [&holders](const std::string &address) {
--- a/servers/ports/serving_metrics.h
+++ b/servers/ports/serving_metrics.h
@@ -10,6 +10,12 @@
 
 namespace monsoonsail {
 
+/// What a prediction was made for.
+enum class PredictedPoint {
+    FirstEvent,
+    End, ///< Of the answer.
+};
+
 /// Records measurements of requests and calls for the metrics.
 class ServingMetrics
 {
@@ -48,6 +54,9 @@
     virtual void recordConfiguration(std::string_view source, Duration behindFor) = 0;
     /// Records that this instance, as holder of the duties, has changed the phase of a roll-out.
     virtual void recordRolloutPhase(std::string_view service, std::string_view phase) = 0;
+    /// Records the actual divided by the predicted time from the placement of a request to a point.
+    virtual void recordPredictionError(std::string_view service, std::string_view route,
+                                       PredictedPoint point, double ratio) = 0;
 };
 
 } // namespace monsoonsail
--- a/servers/serving/serving_limits.h
+++ b/servers/serving/serving_limits.h
@@ -19,6 +19,8 @@
     /// Whether requests share the places of engines by their urgency and account if these are
     /// short.
     bool sharesPlaces = false;
+    /// Whether placement uses what is learned about the speed of endpoints and the length of runs.
+    bool learnsCosts = false;
     /// A configuration that has not been confirmed for longer may be outdated.
     Duration maxConfigurationAge = std::chrono::milliseconds(2000);
     /// Time within which a published configuration must be in force on all instances.
--- a/tests/drivers/serving_settings_test.cpp
+++ b/tests/drivers/serving_settings_test.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(rollOutsAreOffWithoutTheirSection);
     CPPUNIT_TEST(rollOutLimitsAreRead);
     CPPUNIT_TEST(incompleteRollOutLimitsAreFaults);
+    CPPUNIT_TEST(costsAreNotLearnedByDefault);
+    CPPUNIT_TEST(learningOfCostsCanBeSwitchedOn);
+    CPPUNIT_TEST(unknownPlacementKeyIsReported);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<ConfigurationFault> m_faults;
@@ -55,6 +58,28 @@
         read("[rollout]\nexposure_share = 0.1\n");
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_faults.size());
     }
+
+    // Guards against deployments that change their behaviour with an update alone.
+    void costsAreNotLearnedByDefault()
+    {
+        CPPUNIT_ASSERT(!read("").limits.learnsCosts);
+        CPPUNIT_ASSERT(!read("[placement]\n").limits.learnsCosts);
+        CPPUNIT_ASSERT(m_faults.empty());
+    }
+
+    // Guards against a switch without effect.
+    void learningOfCostsCanBeSwitchedOn()
+    {
+        CPPUNIT_ASSERT(read("[placement]\nlearns_costs = true\n").limits.learnsCosts);
+        CPPUNIT_ASSERT(m_faults.empty());
+    }
+
+    // Guards against a misspelt switch that is ignored without a word.
+    void unknownPlacementKeyIsReported()
+    {
+        read("[placement]\nlearn_costs = true\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_faults.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServingSettingsTest);
--- a/tests/servers/recording_metrics.h
+++ b/tests/servers/recording_metrics.h
@@ -45,6 +45,11 @@
     {
         rolloutPhases.emplace_back(phase);
     }
+    void recordPredictionError(std::string_view /*service*/, std::string_view /*route*/,
+                               PredictedPoint point, double ratio) override
+    {
+        (point == PredictedPoint::FirstEvent ? firstEventRatios : endRatios).push_back(ratio);
+    }
     void recordAttempt(std::string_view /*service*/, AttemptResult /*result*/) override
     {
         ++attempts;
@@ -59,6 +64,8 @@
     std::vector<std::string> rolloutRuns; ///< Phases of the runs at targets.
     std::vector<std::string> rolloutPhases;
     std::vector<StreamEndGround> judgedStreamEnds;
+    std::vector<double> firstEventRatios;
+    std::vector<double> endRatios;
 };
 
 } // namespace monsoonsail
