Report ready only when streams may begin at the listed versions

EntryDaemonTest::everyKindOfRequestIsServed got 503 no-endpoint for its first stream. Logs of two such runs show the cause: two daemons start with an empty roster and both append the version of "model". The append of the second one conflicts, and it reads the roster again 0.2 s later.

An instance is now settled when the roster has all listed versions, or 1 s after its first read if they could not be added by then. A roster that is complete, as after a restart, delays nothing.

VersionDirectoryTest::settledInstanceMayBeginStreams failed before the change.

--- a/servers/versions/version_directory.h
+++ b/servers/versions/version_directory.h
@@ -21,7 +21,8 @@
     void advance(bool isReader, Duration clockCorrection, unsigned instanceCount);
     /// Writes begin records that are due. Call after the progress of streams has been handled.
     void writeDue() { m_begins.writeDue(); }
-    /// Whether streams may begin at all versions that were listed at the start.
+    /// Whether streams may begin at all versions that were listed at the start, or the roster could
+    /// not be written in time.
     bool isSettled() const { return m_roster.isSettled(); }
 
     bool mayBegin(const ServiceId &service, const SoftwareVersion &software) const override;
--- a/servers/versions/version_roster.cpp
+++ b/servers/versions/version_roster.cpp
@@ -29,6 +29,9 @@
 /// A version that has been absent for so long may have been retired since the last read. Leaves
 /// half of the delay for what instances learn later than others.
 constexpr Duration rereadDelay = retirementDelay / 2;
+/// Time from the first read until an instance that can't add the listed versions becomes ready, as
+/// it can serve requests that are not resumable.
+constexpr Duration maxSettleTime = std::chrono::seconds(1);
 /// An instance that has been held up for longer knows of old absences only.
 constexpr Duration maxAdvancePause = std::chrono::seconds(2);
 /// Five thousand years, so that differences of instants don't overflow.
@@ -65,7 +68,9 @@
         m_absentSince.clear();
     m_advancedAt = now;
     observeList(now);
-    m_isSettled = m_isSettled || m_end.has_value();
+    if (m_end && !m_settleDeadline)
+        m_settleDeadline = now + maxSettleTime;
+    m_isSettled = m_isSettled || (m_end && (containsListed() || *m_settleDeadline <= now));
     if (m_end && !isOutdated() && !serviceToWrite(now)) {
         m_nextWriteAt.reset();
         m_retryInterval = minRetryInterval;
@@ -181,6 +186,15 @@
             && !mayBeRetired(service, software);
 }
 
+bool VersionRoster::containsListed() const
+{
+    return std::ranges::all_of(m_listed, [this](const auto &listed) {
+        return std::ranges::all_of(listed.second, [&](const SoftwareVersion &version) {
+            return contains(listed.first, version);
+        });
+    });
+}
+
 bool VersionRoster::mayBeRetired(const ServiceId &service, const SoftwareVersion &software) const
 {
     const auto absent = m_absentSince.find(service);
--- a/servers/versions/version_roster.h
+++ b/servers/versions/version_roster.h
@@ -44,7 +44,8 @@
     /// Returns the version of all streams of the service in progress at the last read, if there is
     /// only one.
     std::optional<SoftwareVersion> onlyVersion(const ServiceId &service) const;
-    /// Whether the roster has been read.
+    /// Whether the roster has had all versions listed at a time since the start, or they could not
+    /// be added in time.
     bool isSettled() const { return m_isSettled; }
 
 private:
@@ -64,6 +65,7 @@
     void startRead();
     void handleRead(std::error_code error, const LogRecords &records);
     void observeList(Instant now);
+    bool containsListed() const;
     /// Whether another instance may have removed the version since the last read, as it has been
     /// absent for long.
     bool mayBeRetired(const ServiceId &service, const SoftwareVersion &software) const;
@@ -87,6 +89,7 @@
     std::map<ServiceId, Entry> m_entries; ///< As last read.
     std::optional<LogOffset> m_end;       ///< Of the topic, as last read; empty before.
     bool m_isSettled = false;
+    std::optional<Instant> m_settleDeadline; ///< Set by the first read.
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isReader = false;
--- a/tests/servers/version_directory_test.cpp
+++ b/tests/servers/version_directory_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 #include <string>
@@ -23,6 +24,8 @@
     CPPUNIT_TEST(streamsOfOneVersionGoOnAfterARestore);
     CPPUNIT_TEST(unreadStoreShowsNoVersion);
     CPPUNIT_TEST(streamsBeginAtStoredVersionsOnly);
+    CPPUNIT_TEST(settledInstanceMayBeginStreams);
+    CPPUNIT_TEST(refusedAppendsDelaySettlingBriefly);
     CPPUNIT_TEST_SUITE_END();
 
     /// The directory of one instance.
@@ -202,6 +205,40 @@
         CPPUNIT_ASSERT(mayBegin("v1"));
         CPPUNIT_ASSERT(!mayBegin("v2"));
     }
+
+    // Of two instances that started at once, the one whose append came second was ready before it
+    // had read what the other one had added, and refused streams for want of an endpoint.
+    void settledInstanceMayBeginStreams()
+    {
+        add({"v1"});
+        add({"v1"});
+        const auto isSettled = [](const Instance &instance) {
+            return instance.directory.isSettled();
+        };
+        const Instant end = m_fixture.now + milliseconds(500);
+        while (!std::ranges::all_of(m_instances, isSettled)) {
+            CPPUNIT_ASSERT(m_fixture.now < end);
+            advance(milliseconds(50));
+            for (const Instance &instance : m_instances) {
+                CPPUNIT_ASSERT(
+                        !isSettled(instance)
+                        || instance.directory.mayBegin(m_fixture.service, SoftwareVersion("v1")));
+            }
+        }
+    }
+
+    // Guards against an instance that serves nothing because the store refuses its appends.
+    void refusedAppendsDelaySettlingBriefly()
+    {
+        Instance &instance = add({"v1"});
+        instance.directory.advance(true, {}, 5);
+        CPPUNIT_ASSERT(m_fixture.store.answerNext());
+        m_fixture.store.error = StoreError::Busy;
+        advance(milliseconds(900));
+        CPPUNIT_ASSERT(!instance.directory.isSettled());
+        advance(milliseconds(300));
+        CPPUNIT_ASSERT(instance.directory.isSettled());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(VersionDirectoryTest);
