Reserve the ports of daemons that tests start

Test processes whose ids differ by a multiple of 55 began at the same port, and a port is bound only when its daemon has started, so both could find it free. One daemon then ended with "Address already in use", or the test called the daemon of the other process, which answered 200 without a run at its own endpoints.

PortReservation holds a name for each port while the daemon's object lives. No check of a test changes.

--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -1,14 +1,12 @@
 #include "tests/support/daemon_process.h"
 
 #include "tests/support/caller.h"
-#include "tests/support/raw_socket.h"
 
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -24,37 +22,9 @@
 constexpr int statusOk = 200;
 constexpr std::chrono::milliseconds pollInterval{10};
 
-/// Below the ports from which the kernel chooses those of outgoing connections: one of those could
-/// be taken while a daemon restarts.
-constexpr unsigned firstPort = 10'000;
-constexpr unsigned portCount = 22'000;
-/// Distance between the first ports of two test processes with consecutive ids.
-constexpr unsigned portsPerProcess = 400;
-
-bool isFree(unsigned port)
-{
-    try {
-        const RawListener listener(port);
-        return true;
-    } catch (const std::runtime_error &) {
-        return false;
-    }
-}
-
-unsigned freePort()
-{
-    // Several sites may start at the same time.
-    static std::atomic<unsigned> next = static_cast<unsigned>(::getpid()) * portsPerProcess;
-    unsigned port = 0;
-    do {
-        port = firstPort + next++ % portCount;
-    } while (!isFree(port));
-    return port;
-}
-
-std::string loopback(unsigned port)
+std::string loopback(const PortReservation &reservation)
 {
-    return "127.0.0.1:" + std::to_string(port);
+    return "127.0.0.1:" + std::to_string(reservation.port());
 }
 
 } // namespace
@@ -65,16 +35,12 @@
     , m_settings(std::move(settings))
     , m_settingsFile(folder / (m_instance + ".toml"))
     , m_log(folder / (m_instance + ".log"))
-    , m_callerPort(freePort())
-    , m_readyPort(freePort())
-    , m_metricsPort(freePort())
-    , m_digestPort(freePort())
 {
     std::ofstream file(m_settingsFile);
     file << "instance = \"" << m_instance << "\"\nzone = \"" << m_settings.zone << "\"\n"
          << "caller_listen = \"" << loopback(m_callerPort) << "\"\n"
          << "ready_listen = \"" << loopback(m_readyPort) << "\"\n"
-         << "control_listen = \"" << loopback(freePort()) << "\"\n"
+         << "control_listen = \"" << loopback(m_controlPort) << "\"\n"
          << "metrics_listen = \"" << loopback(m_metricsPort) << "\"\n"
          << "digest_listen = \"" << loopback(m_digestPort) << "\"\n"
          << "store = \"" << platform << "\"\nduties = \"" << platform << "\"\n"
@@ -139,12 +105,12 @@
 
 bool DaemonProcess::isResponding() const
 {
-    return Caller::fetch(m_readyPort, "/readyz").status != 0;
+    return Caller::fetch(m_readyPort.port(), "/readyz").status != 0;
 }
 
 bool DaemonProcess::isReady() const
 {
-    return Caller::fetch(m_readyPort, "/readyz").status == statusOk;
+    return Caller::fetch(m_readyPort.port(), "/readyz").status == statusOk;
 }
 
 std::string DaemonProcess::log() const
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "tests/support/port_reservation.h"
+
 #include <sys/types.h>
 
 #include <chrono>
@@ -45,9 +47,9 @@
     const std::string &instance() const { return m_instance; }
     pid_t processId() const { return m_processId; }
     const DaemonSettings &settings() const { return m_settings; }
-    unsigned callerPort() const { return m_callerPort; }
-    unsigned metricsPort() const { return m_metricsPort; }
-    unsigned digestPort() const { return m_digestPort; }
+    unsigned callerPort() const { return m_callerPort.port(); }
+    unsigned metricsPort() const { return m_metricsPort.port(); }
+    unsigned digestPort() const { return m_digestPort.port(); }
     /// Returns the log of all runs of the daemon.
     std::string log() const;
 
@@ -56,10 +58,11 @@
     const DaemonSettings m_settings;
     const std::filesystem::path m_settingsFile;
     const std::filesystem::path m_log;
-    const unsigned m_callerPort;
-    const unsigned m_readyPort;
-    const unsigned m_metricsPort;
-    const unsigned m_digestPort;
+    const PortReservation m_callerPort;
+    const PortReservation m_readyPort;
+    const PortReservation m_controlPort;
+    const PortReservation m_metricsPort;
+    const PortReservation m_digestPort;
     pid_t m_processId = 0; ///< 0 if no process is running.
     int m_exitStatus = 0;
 };
