--- a/servers/rollout/rollout_controller.cpp
+++ b/servers/rollout/rollout_controller.cpp
@@ -13,23 +13,6 @@
 /// Time after an order until the list of endpoints is taken to be known.
 constexpr Duration listTime = std::chrono::seconds(2);
 
-std::string_view phaseName(RolloutPhase phase)
-{
-    switch (phase) {
-    case RolloutPhase::Trial:
-        return "trial";
-    case RolloutPhase::Shifting:
-        return "shifting";
-    case RolloutPhase::Completed:
-        return "completed";
-    case RolloutPhase::RollingBack:
-        return "rolling-back";
-    case RolloutPhase::RolledBack:
-        break;
-    }
-    return "rolled-back";
-}
-
 bool isFinished(RolloutPhase phase)
 {
     return phase == RolloutPhase::Completed || phase == RolloutPhase::RolledBack;
@@ -129,7 +112,7 @@
     m_ports.decisions.write(LogLevel::Warning, "rollout-target-bad", {},
                             {{"service", state.service.view()},
                              {"target", state.target.view()},
-                             {"phase", phaseName(state.phase)},
+                             {"phase", rolloutPhaseName(state.phase)},
                              {"reason", verdict.reason},
                              {"answers", std::int64_t{verdict.answers}},
                              {"failures", std::int64_t{verdict.failures}}});
@@ -268,7 +251,7 @@
     m_ports.decisions.write(LogLevel::Info, "rollout-phase", {},
                             {{"service", state.service.view()},
                              {"target", state.target.view()},
-                             {"phase", phaseName(state.phase)},
+                             {"phase", rolloutPhaseName(state.phase)},
                              {"reason", step.reason},
                              {"answers", std::int64_t{verdict.answers}},
                              {"failures", std::int64_t{verdict.failures}},
@@ -276,7 +259,7 @@
                              {"until_due_ms", toMs(state.dueAt - now)},
                              {"order", toLog(state.order)},
                              {"change", std::int64_t{state.change}}});
-    m_ports.metrics.recordRolloutPhase(state.service.view(), phaseName(state.phase));
+    m_ports.metrics.recordRolloutPhase(state.service.view(), rolloutPhaseName(state.phase));
     m_ports.view.apply(state, now);
 }
 
--- a/servers/rollout/rollout_state.h
+++ b/servers/rollout/rollout_state.h
@@ -4,6 +4,7 @@
 #include "core/instant.h"
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 namespace monsoonsail {
@@ -17,6 +18,9 @@
     RolledBack = 5,
 };
 
+/// Returns the name of a phase in the log and the metrics.
+std::string_view rolloutPhaseName(RolloutPhase phase);
+
 /// A roll-out of a software version, as far as it is known. A state with a later order replaces one
 /// with an earlier order; of the same order, the one with the higher change number is newer.
 struct RolloutState
--- a/servers/rollout/rollout_traffic.cpp
+++ b/servers/rollout/rollout_traffic.cpp
@@ -41,23 +41,6 @@
 
 } // namespace
 
-std::string_view rolloutPhaseName(RolloutPhase phase)
-{
-    switch (phase) {
-    case RolloutPhase::Trial:
-        return "trial";
-    case RolloutPhase::Shifting:
-        return "shifting";
-    case RolloutPhase::Completed:
-        return "completed";
-    case RolloutPhase::RollingBack:
-        return "rolling-back";
-    case RolloutPhase::RolledBack:
-        return "rolled-back";
-    }
-    return "unknown";
-}
-
 RolloutTraffic::RolloutTraffic(DecisionLog &log, ServingMetrics &metrics, std::uint64_t seed)
     : m_log(log)
     , m_metrics(metrics)
--- a/servers/rollout/rollout_traffic.h
+++ b/servers/rollout/rollout_traffic.h
@@ -119,7 +119,4 @@
     std::function<void()> m_newsHandler;
 };
 
-/// Returns the name of a phase in the log and the metrics.
-std::string_view rolloutPhaseName(RolloutPhase phase);
-
 } // namespace monsoonsail
