--- a/review/standins2.py
+++ b/review/standins2.py
@@ -182,13 +182,14 @@
 class Worker:
     """A worker of a service. `respond(worker, request, writer)` writes the answer to a request."""
 
-    def __init__(self, site, name, service, zone, respond, keep_alive_s=None):
+    def __init__(self, site, name, service, zone, respond, keep_alive_s=None, version="v1"):
         self.site = site
         self.name = name
         self.service = service
         self.zone = zone
         self.respond = respond
         self.keep_alive_s = keep_alive_s
+        self.version = version
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.server = None
@@ -205,7 +206,7 @@
     async def beat(self):
         self.sequence += 1
         entry = {"Service": self.service, "Address": f"127.0.0.1:{self.port}", "Zone": self.zone,
-                 "Version": "v1", "Slots": 64, "State": "ready", "ColdLeftMs": 0,
+                 "Version": self.version, "Slots": 64, "State": "ready", "ColdLeftMs": 0,
                  "Stage": "both", "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
                  "Seq": self.sequence, "born": self.born}
         await self.site.platform.put("keyed.servers", self.name, json.dumps(entry))
@@ -273,6 +274,18 @@
         await self.start()
 
 
+    async def restart_in_place(self, version):
+        """A new process takes over the listening socket, under the name of the old one, which ends
+        with its connections."""
+        self.version = version
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.sequence = 0
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.site.note(f"{self.name} is restarted with version {version}")
+        await self.beat()
+
+
 def event_stream_head(worker, request, closes):
     fields = [("X-Attempt-Id", request["id"]), ("X-Server-Seal", f"seal.{request['id']}"),
               ("X-Weight-Versions", "1"), ("Content-Type", "text/event-stream"),
@@ -537,9 +550,9 @@
             writer.close()
         return result
 
-    async def add_worker(self, service, respond, keep_alive_s=None):
+    async def add_worker(self, service, respond, keep_alive_s=None, version="v1"):
         name = f"i-{len(self.workers):08x}"
-        worker = Worker(self, name, service, "usa-river", respond, keep_alive_s)
+        worker = Worker(self, name, service, "usa-river", respond, keep_alive_s, version)
         self.workers.append(worker)
         await worker.start()
         return worker
