--- a/review/standins2.py
+++ b/review/standins2.py
@@ -24,21 +24,37 @@
 KEY = "i9n73hh2b9wu3fexd9dn"
 HOST = "ficu95.example"
 RECORD_LIMIT = 400_000
+MAX_DAEMONS = 5
+
+
+def is_free(port, kind):
+    """Whether the port is free on the loopback addresses of all daemons."""
+    for number in range(1, MAX_DAEMONS + 1):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind((daemon_ip(number), port))
+            except OSError:
+                return False
+    return True
 
 
 def free_ports(count):
-    """Returns ports that are free on every loopback address."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("0.0.0.0", 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
+    """Returns ports that are free on the loopback addresses of all daemons."""
+    ports = []
+    while len(ports) < count:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if (port not in ports and is_free(port, socket.SOCK_STREAM)
+                and is_free(port, socket.SOCK_DGRAM)):
+            ports.append(port)
     return ports
 
 
+def daemon_ip(number):
+    return f"127.0.0.{10 + number}"
+
+
 def parse_head(data):
     """Returns the first line and the fields of a head, the names in lower case."""
     lines = data.decode("latin-1").split("\r\n")
@@ -196,6 +212,8 @@
         self.port = 0
         self.connections = set()
         self.is_down = False
+        self.started = asyncio.Event()
+        self.started.set()
         self.streams = 0
 
     async def start(self):
@@ -225,6 +243,7 @@
         if self.is_down:
             writer.transport.abort()
             return
+        await self.started.wait()
         self.connections.add(writer)
         try:
             while True:
@@ -274,15 +293,19 @@
         await self.start()
 
 
-    async def restart_in_place(self, version):
-        """A new process takes over the listening socket, under the name of the old one, which ends
-        with its connections."""
+    async def restart_in_place(self, version, gap_s):
+        """The process ends with its connections, and a new one starts `gap_s` later under its name
+        on the same listening socket, where new connections wait meanwhile."""
+        self.started.clear()
         self.version = version
-        self.born = max(int(time.time() * 1000), self.born + 1)
-        self.sequence = 0
         for writer in list(self.connections):
             writer.transport.abort()
-        self.site.note(f"{self.name} is restarted with version {version}")
+        self.site.note(f"{self.name} ends")
+        await asyncio.sleep(gap_s)
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.sequence = 0
+        self.started.set()
+        self.site.note(f"{self.name} has started again with version {version}")
         await self.beat()
 
 
@@ -335,7 +358,7 @@
     def __init__(self, site, number, memory_mb):
         self.site = site
         self.name = f"front-{number}"
-        self.ip = f"127.0.0.{10 + number}"
+        self.ip = daemon_ip(number)
         self.memory_mb = memory_mb
         self.log = os.path.join(site.folder, self.name + ".log")
         self.file = os.path.join(site.folder, self.name + ".toml")
@@ -561,7 +584,7 @@
         while True:
             await asyncio.sleep(1.2)
             for worker in self.workers:
-                if not worker.is_down:
+                if not worker.is_down and worker.started.is_set():
                     await worker.beat()
 
     async def start(self, daemons, memory_mb=260):
