--- a/review/6/case.py
+++ b/review/6/case.py
@@ -86,7 +86,7 @@
         counts["sent"] += 1
         result = await client.call(
             standins.request("POST", "/tag/1", attempt, 3000,
-                             standins.prompt([(7, 340), (int(attempt[1:], 16), 60)], 20), b"x"), 4)
+                             standins.prompt([(7, 340), (int(attempt[1:], 16), 60)], 20), b"x"), 3)
         client.close()
         seal = result["fields"].get("x-server-seal")
         expected = b"".join(f"id: {number}\ndata: {attempt}\n\n".encode() for number in range(1, 5))
