Skip repeats of the answer to a check of the incarnation on its connection

Cause: the relay asks an endpoint for its start before the first resumable stream on a connection, and keeps the connection. That answer has no id. A late repeat of it was skipped by the attempt that had asked only, and each later request on the connection took it for its own answer.

Why this works: the connection remembers the status of that answer, so all its users skip answers without an id and with that status. Endpoints name the request in all other answers.

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -98,7 +98,7 @@
 
 void Attempt::onConnected()
 {
-    if (m_start.checksIncarnation && !m_connection->isIncarnationChecked)
+    if (m_start.checksIncarnation && !m_connection->isIncarnationChecked())
         beginIncarnationCheck();
     else
         sendRequest();
@@ -210,11 +210,8 @@
         return;
     }
     ResponseTraits traits = m_codec.parseResponse(head);
-    // What the response to another request says may be long out of date. The response to the check
-    // has no id and may be repeated.
-    const bool isRepeatedCheck = m_hasChecked && traits.callerId.value_or("").empty()
-            && head.status == statusOk && !isEventStream(head);
-    if (isRepeatedCheck || (traits.callerId && *traits.callerId != m_callerId)) {
+    // What the response to another request says may be long out of date.
+    if (mayRepeatTheCheck(traits) || (traits.callerId && *traits.callerId != m_callerId)) {
         m_mode = Mode::Skipped;
         return;
     }
@@ -227,6 +224,15 @@
     m_mode = isStream ? Mode::Relayed : Mode::Buffered;
 }
 
+/// Whether the response may be a repeat of that to the check of the incarnation, which has no id.
+/// The repeat may come at any later time, also where the response to the next request is due.
+bool Attempt::mayRepeatTheCheck(const ResponseTraits &traits) const
+{
+    const ResponseHead &head = m_reader->head();
+    return m_connection->incarnationCheckStatus == head.status
+            && traits.callerId.value_or("").empty() && !isEventStream(head);
+}
+
 void Attempt::processBody(std::string_view bytes)
 {
     if (m_mode == Mode::AwaitingHead)
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -121,6 +121,7 @@
     void updateHeldBytes(std::size_t unparsedBytes);
     void reportTooLong(std::string_view reason);
     void processHead();
+    bool mayRepeatTheCheck(const ResponseTraits &traits) const;
     void processBody(std::string_view bytes);
     bool relayEvents();
     bool finishResponse();
@@ -157,7 +158,6 @@
     bool m_ended = false;
     bool m_wasDisconnected = false;
     bool m_wasTooLong = false;
-    bool m_hasChecked = false; ///< Whether the endpoint was asked for its start on the connection.
     bool m_wasClosedAfterCheck = false;
     TimerQueue::Handle m_connectTimer;
 };
--- a/drivers/traffic/attempt_incarnation.cpp
+++ b/drivers/traffic/attempt_incarnation.cpp
@@ -50,8 +50,7 @@
         reportEnd(AttemptResult::NotSent, "the endpoint closes the connection");
         return;
     }
-    m_connection->isIncarnationChecked = true;
-    m_hasChecked = true;
+    m_connection->incarnationCheckStatus = head.status;
     startReader();
     sendRequest();
 }
--- a/tests/drivers/stream_version_test.cpp
+++ b/tests/drivers/stream_version_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(endpointWithoutAStartIsSentTheRequest);
     CPPUNIT_TEST(endpointThatFailsTheCheckIsNotSentTheRequest);
     CPPUNIT_TEST(repeatedAnswerToTheCheckIsNotPassedOn);
+    CPPUNIT_TEST(repeatedAnswerToTheCheckAnswersNoLaterRequest);
     CPPUNIT_TEST(lateAnswerToAnEarlierRequestIsNoAnswerToTheCheck);
     CPPUNIT_TEST(checkIsAnsweredWithAnEmptyId);
     CPPUNIT_TEST(silentEndpointIsNotSentTheRequest);
@@ -171,6 +172,36 @@
         expectAnswered(endpoint);
     }
 
+    // A repeat that came after the request that had asked for the check was passed on to the caller
+    // of the next one on the connection.
+    void repeatedAnswerToTheCheckAnswersNoLaterRequest()
+    {
+        for (const std::string status : {"200 OK", "404 None"}) {
+            const std::string checked = checkAnswer(std::to_string(startedMs), {}, status);
+            RawSocket endpoint;
+            {
+                const RawSocket first = connectCaller();
+                endpoint = startChecked(checked, first);
+                endpoint.receiveUntil(headEnd);
+                endpoint.send(answer);
+                deliver(m_listener.nextAttemptEnd());
+            }
+            for (const bool checksIncarnation : {true, false}) {
+                const RawSocket client = connectCaller();
+                start(m_listener.nextArrival().number, checksIncarnation);
+                CPPUNIT_ASSERT(endpoint.receiveUntil(headEnd).starts_with("GET /a HTTP/1.1\r\n"));
+                endpoint.send(checked + answer);
+                const AttemptEnd end = m_listener.nextAttemptEnd();
+                expectResult(AttemptResult::Answered, end, status);
+                deliver(end);
+                const std::string received = client.receiveUntil("ok");
+                CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200 OK\r\nId: r"));
+            }
+            endpoint.close();
+            m_thread->runAndWait([&] { m_traffic->closeConnections(EndpointId("e")); });
+        }
+    }
+
     void lateAnswerToAnEarlierRequestIsNoAnswerToTheCheck()
     {
         const RawSocket client = connectCaller();
