Send no order to move a run on a connection that has carried a check

What it costs callers: a run that was stopped by the order goes on without its memory, or breaks off, since the handle in the order's answer is lost.

The answer to an order has no id, or that of the run, and an order could use a connection that was kept after a check of the incarnation; a late repeat of the check's answer was taken for that to the order.

Why this works: such connections are left out when a kept one is chosen for an order; without another, a new one is opened.

--- a/drivers/traffic/endpoint_pool.cpp
+++ b/drivers/traffic/endpoint_pool.cpp
@@ -7,7 +7,8 @@
 
 std::shared_ptr<EndpointConnection>
 EndpointPool::takeIdle(const EndpointId &endpoint, Instant usedSince,
-                       std::span<const std::weak_ptr<const EndpointConnection>> excluded)
+                       std::span<const std::weak_ptr<const EndpointConnection>> excluded,
+                       CheckedConnections checked)
 {
     const auto entry = m_idle.find(endpoint);
     if (entry == m_idle.end())
@@ -17,9 +18,11 @@
         const auto position = connections.begin() + static_cast<std::ptrdiff_t>(next) - 1;
         if ((*position)->lastUsedAt < usedSince)
             return nullptr;
-        const bool isExcluded = std::ranges::any_of(
+        const bool wasUsed = std::ranges::any_of(
                 excluded, [&](const auto &entry) { return entry.lock() == *position; });
-        if (isExcluded)
+        const bool isUnsuited =
+                checked == CheckedConnections::Excluded && (*position)->isIncarnationChecked();
+        if (wasUsed || isUnsuited)
             continue;
         std::shared_ptr<EndpointConnection> connection = std::move(*position);
         connections.erase(position);
--- a/drivers/traffic/endpoint_pool.h
+++ b/drivers/traffic/endpoint_pool.h
@@ -16,6 +16,13 @@
 
 namespace monsoonsail {
 
+/// Whether a request may use a connection that has carried a check of the incarnation. The response
+/// to that has no id, so a repeat of it could be taken for another response without one.
+enum class CheckedConnections {
+    Allowed,
+    Excluded
+};
+
 /// Opens connections to endpoints and keeps the idle ones for reuse.
 class EndpointPool
 {
@@ -29,7 +36,8 @@
     /// reach their idle timeout.
     std::shared_ptr<EndpointConnection>
     takeIdle(const EndpointId &endpoint, Instant usedSince,
-             std::span<const std::weak_ptr<const EndpointConnection>> excluded);
+             std::span<const std::weak_ptr<const EndpointConnection>> excluded,
+             CheckedConnections checked = CheckedConnections::Allowed);
     /// Opens a new connection. Returns nullptr and sets `error` if that fails immediately.
     std::shared_ptr<EndpointConnection> connect(const EndpointId &endpoint,
                                                 std::string_view address, std::error_code &error);
--- a/drivers/traffic/traffic_relay_calls.cpp
+++ b/drivers/traffic/traffic_relay_calls.cpp
@@ -19,8 +19,9 @@
     Exchange *exchange = findExchange(move.request);
     if (exchange == nullptr)
         return;
-    std::shared_ptr<EndpointConnection> connection =
-            m_endpointPool.takeIdle(move.source, Instant::min(), exchange->usedConnections);
+    // The response may have no id.
+    std::shared_ptr<EndpointConnection> connection = m_endpointPool.takeIdle(
+            move.source, Instant::min(), exchange->usedConnections, CheckedConnections::Excluded);
     std::error_code error;
     if (!connection)
         connection = m_endpointPool.connect(move.source, move.sourceAddress, error);
--- a/tests/drivers/stream_version_test.cpp
+++ b/tests/drivers/stream_version_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(endpointThatFailsTheCheckIsNotSentTheRequest);
     CPPUNIT_TEST(repeatedAnswerToTheCheckIsNotPassedOn);
     CPPUNIT_TEST(repeatedAnswerToTheCheckAnswersNoLaterRequest);
+    CPPUNIT_TEST(repeatedAnswerToTheCheckIsNotTheAnswerToAMove);
     CPPUNIT_TEST(lateAnswerToAnEarlierRequestIsNoAnswerToTheCheck);
     CPPUNIT_TEST(checkIsAnsweredWithAnEmptyId);
     CPPUNIT_TEST(silentEndpointIsNotSentTheRequest);
@@ -202,6 +203,40 @@
         }
     }
 
+    // An order to move a run could use a connection that was kept after a check. Its answer has no
+    // id either, so the repeat was taken for it, and the handle of the run was lost.
+    void repeatedAnswerToTheCheckIsNotTheAnswerToAMove()
+    {
+        const std::string checked = checkAnswer(std::to_string(startedMs));
+        const RawSocket client = connectCaller();
+        const RequestNumber moved = m_listener.nextArrival().number;
+        start(moved, true, "v1", true);
+        const AttemptNumber attempt = m_lastAttempt;
+        const RawSocket run = m_endpoint.accept();
+        run.receiveUntil(headEnd);
+        run.send(checked);
+        run.receiveUntil(headEnd);
+        const RawSocket other = connectCaller();
+        const RawSocket kept = startChecked(checked, other);
+        kept.receiveUntil(headEnd);
+        kept.send(answer);
+        deliver(m_listener.nextAttemptEnd());
+        m_thread->runAndWait([&] {
+            m_traffic->moveRun({.request = moved,
+                                .attempt = attempt,
+                                .source = EndpointId("e"),
+                                .sourceAddress = m_endpoint.address(),
+                                .targetAddress = "127.0.0.1:1",
+                                .deadline = m_thread->loop().now() + seconds(2)});
+        });
+        const RawSocket call = m_endpoint.accept(milliseconds(100));
+        kept.send(checked);
+        const RawSocket &used = call.isOpen() ? call : kept;
+        used.receiveUntil(headEnd);
+        used.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+        CPPUNIT_ASSERT_EQUAL(std::string("h1"), m_listener.nextMoveEnd().handle);
+    }
+
     void lateAnswerToAnEarlierRequestIsNoAnswerToTheCheck()
     {
         const RawSocket client = connectCaller();
