Keep no connection after a response without an id

What callers saw: if an endpoint answers a request without an id, against the protocol, and repeats the answer late, the next caller on the connection gets the repeat as its own answer.

Only refusals without an id closed their connection.

Why this works: a kept connection has carried responses with ids only, by which a repeat is told, and at most the response to a check, which is skipped.

Failed before: RepeatedRefusalTest::repeatOfAnAnswerWithoutAnIdIsNotTheNextAnswer ("200 OK", body "old", for the next request).

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -366,11 +366,10 @@
 
 std::shared_ptr<EndpointConnection> Attempt::releaseReusableConnection()
 {
-    // A refusal may be repeated later. Without an id, it would be taken for the next response.
-    const bool isRefusal = m_responseTraits.wasNotRun || m_responseTraits.isMisdirected;
+    // A response may be repeated later. Without an id, it would be taken for the next one.
     const bool namesRequest = m_responseTraits.callerId && !m_responseTraits.callerId->empty();
     const bool allowsReuse = m_reader->isComplete() && m_reader->head().keepAlive
-            && !m_reader->endsAtConnectionClose() && (namesRequest || !isRefusal);
+            && !m_reader->endsAtConnectionClose() && namesRequest;
     if (!allowsReuse || !m_connection->isOpen() || !m_connection->hasEmptyBuffers())
         return nullptr;
     m_connection->setUser(nullptr);
--- a/tests/drivers/repeated_refusal_test.cpp
+++ b/tests/drivers/repeated_refusal_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(ownRepeatIsNotTheAnswerToAMove);
     CPPUNIT_TEST(endlessRepeatsEndAMove);
     CPPUNIT_TEST(repeatWithoutAnIdIsNotTheNextAnswer);
+    CPPUNIT_TEST(repeatOfAnAnswerWithoutAnIdIsNotTheNextAnswer);
     CPPUNIT_TEST(refusedRequestIsSentAgainOnAnotherKeptConnection);
     CPPUNIT_TEST_SUITE_END();
 
@@ -425,6 +426,30 @@
         }
     }
 
+    // Only refusals without an id closed their connection. The repeat of another answer without one
+    // was passed on to the next caller.
+    void repeatOfAnAnswerWithoutAnIdIsNotTheNextAnswer()
+    {
+        for (const std::string line : {"200 OK", "404 None", "500 Bad"}) {
+            const std::string text = "HTTP/1.1 " + line + "\r\nContent-Length: 3\r\n\r\nold";
+            const RawSocket first = connectCaller("GET /a HTTP/1.1\r\nId: first\r\n\r\n");
+            RawSocket endpoint;
+            const AttemptEnd end = runAttempt(endpoint, text);
+            expectResult(AttemptResult::Answered, end, line);
+            deliver(end);
+            first.receiveUntil("old");
+            const RawSocket client = connectNext();
+            startNext();
+            const RawSocket fresh = m_endpoint.accept(milliseconds(100));
+            if (!fresh.isOpen())
+                endpoint.receiveUntil("\r\n\r\n");
+            endpoint.send(text);
+            std::this_thread::sleep_for(readTime);
+            (fresh.isOpen() ? fresh : endpoint).send(ok);
+            expectOwnAnswer(client, line);
+        }
+    }
+
     // The connection of the refusal was used last. No new one is opened while another is idle.
     void refusedRequestIsSentAgainOnAnotherKeptConnection()
     {
