Check endpoints that close the connection of a check on another one

Cause: an endpoint that had once closed a connection after it had been asked for its start there was not asked any more.

Why this works: the endpoint is asked on a connection that is opened once that of the request is established, so the latter can't lead to a later incarnation than the one that answers.

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -58,8 +58,7 @@
     m_connection->setUser(this);
     m_connectTimer = m_loop.timers().schedule(m_start.connectDeadline, [this] {
         reportEnd(AttemptResult::NotSent,
-                  m_mode == Mode::CheckingIncarnation ? "the endpoint does not name its start"
-                                                      : "connect timeout");
+                  isChecking() ? "the endpoint does not name its start" : "connect timeout");
     });
     if (m_connection->isConnected())
         onConnected();
@@ -98,7 +97,7 @@
 
 void Attempt::onConnected()
 {
-    if (m_start.checksIncarnation && !m_connection->isIncarnationChecked())
+    if (m_start.checksIncarnation && !m_connection->isIncarnationChecked)
         beginIncarnationCheck();
     else
         sendRequest();
@@ -147,6 +146,11 @@
 
 void Attempt::onBytesReceived(std::string &input)
 {
+    if (m_mode == Mode::CheckingSeparately) {
+        m_connection->close();
+        reportEnd(AttemptResult::NotSent, "the endpoint sent bytes without a request");
+        return;
+    }
     while (!m_ended && !input.empty()) {
         std::error_code error;
         const std::size_t bytesUsed = m_reader->read(input, error);
--- a/drivers/traffic/attempt.h
+++ b/drivers/traffic/attempt.h
@@ -40,6 +40,11 @@
     virtual bool hasRelayedEvents(RequestNumber request) const = 0;
     /// Whether the endpoint was told to stop a run of the request.
     virtual bool mayHaveBeenStopped(const Attempt &attempt) const = 0;
+    /// Whether the endpoint closes connections on which it is asked for its start.
+    virtual bool closesAfterChecks(const EndpointId &endpoint) const = 0;
+    /// Asks the endpoint for its start on a new connection, and passes the response to
+    /// Attempt::finishSeparateCheck().
+    virtual void startSeparateCheck(const Attempt &attempt) = 0;
     /// Called for each response to the request.
     virtual void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) = 0;
     /// Called when a response announces that the endpoint is shutting down.
@@ -67,6 +72,9 @@
     /// Sends the request on `connection`, once it is connected.
     void send(std::shared_ptr<EndpointConnection> connection, std::string request,
               bool connectionReused, bool isHeadRequest);
+    /// Continues after the check of the incarnation on another connection. `status` is 0 without a
+    /// response.
+    void finishSeparateCheck(int status, std::string_view body);
     /// Closes the connection and releases the response without calling the owner.
     void cancel();
     /// Ends the attempt since its response holds too much memory.
@@ -93,7 +101,7 @@
     std::optional<Instant> endpointClosedUntil() const;
     /// Whether the endpoint closed or reset the connection.
     bool wasDisconnected() const { return m_wasDisconnected; }
-    /// Whether the endpoint ends each connection on which it was asked for its start.
+    /// Whether the endpoint closed the connection when it had been asked for its start.
     bool wasClosedAfterCheck() const { return m_wasClosedAfterCheck; }
     bool connectionReused() const { return m_connectionReused; }
     /// Releases the connection if the response is complete and another request may follow on it;
@@ -103,6 +111,7 @@
 private:
     enum class Mode {
         CheckingIncarnation, ///< The request is sent when the endpoint has named its start.
+        CheckingSeparately,  ///< The same, on another connection.
         AwaitingHead,        ///< The head of a response is not complete yet.
         Skipped,  ///< An interim response, or the response to another request: discarded.
         Buffered, ///< Kept until it is complete.
@@ -113,8 +122,13 @@
     void onDisconnected(ConnectionEnd end, std::string_view reason) override;
     void onConnected() override;
 
+    bool isChecking() const
+    {
+        return m_mode == Mode::CheckingIncarnation || m_mode == Mode::CheckingSeparately;
+    }
     void beginIncarnationCheck();
     void finishIncarnationCheck();
+    bool passesCheck(int status, std::string_view body);
     void sendRequest();
     void startReader();
     bool isWithinLimits(const std::string &input);
--- a/drivers/traffic/endpoint_call.cpp
+++ b/drivers/traffic/endpoint_call.cpp
@@ -66,7 +66,9 @@
             return;
         }
         if (m_reader->head().status >= minFinalStatus && m_filter(m_reader->head())) {
-            finish({.status = m_reader->head().status, .body = std::move(m_body)});
+            finish({.status = m_reader->head().status,
+                    .body = std::move(m_body),
+                    .keepsConnection = m_reader->head().keepAlive});
             return;
         }
         if (++m_skippedResponses > maxSkippedResponses) {
--- a/drivers/traffic/endpoint_call.h
+++ b/drivers/traffic/endpoint_call.h
@@ -24,7 +24,8 @@
         std::string body;
         std::string reason; ///< Why there is no complete response.
         bool hasTimedOut = false;
-        bool wasSent = false; ///< Whether any byte of the request was sent.
+        bool wasSent = false;         ///< Whether any byte of the request was sent.
+        bool keepsConnection = false; ///< Whether the endpoint would have kept the connection.
     };
     using Callback = std::function<void(const Response &)>;
     /// Whether a response belongs to the call, not to an earlier request on the connection.
--- a/drivers/traffic/endpoint_connection.h
+++ b/drivers/traffic/endpoint_connection.h
@@ -71,12 +71,12 @@
     bool hasEmptyBuffers() const { return m_connected && m_input.empty() && m_output.empty(); }
     /// Whether the endpoint has closed the connection or sent bytes without a request.
     bool isStale() const;
-    /// Whether the endpoint has named its start on this connection, or names none, so that the
-    /// connection is known to lead to the incarnation that it was made for.
-    bool isIncarnationChecked() const { return incarnationCheckStatus.has_value(); }
 
     /// The instant until which the connection may be reused while it is idle.
     Instant keepAliveUntil = Instant::max();
+    /// Whether the endpoint has named its start, or names none, so that the connection is known to
+    /// lead to the incarnation that it was made for.
+    bool isIncarnationChecked = false;
     /// Status of the response to the check of the incarnation, if the connection has carried one.
     std::optional<int> incarnationCheckStatus;
     /// When the last response was complete.
--- a/drivers/traffic/endpoint_pool.cpp
+++ b/drivers/traffic/endpoint_pool.cpp
@@ -20,8 +20,8 @@
             return nullptr;
         const bool wasUsed = std::ranges::any_of(
                 excluded, [&](const auto &entry) { return entry.lock() == *position; });
-        const bool isUnsuited =
-                checked == CheckedConnections::Excluded && (*position)->isIncarnationChecked();
+        const bool isUnsuited = checked == CheckedConnections::Excluded
+                && (*position)->incarnationCheckStatus.has_value();
         if (wasUsed || isUnsuited)
             continue;
         std::shared_ptr<EndpointConnection> connection = std::move(*position);
--- a/drivers/traffic/traffic_relay.cpp
+++ b/drivers/traffic/traffic_relay.cpp
@@ -93,11 +93,8 @@
     Exchange *exchange = findExchange(start.request);
     if (exchange == nullptr)
         return;
-    AttemptStart checkedStart = start;
-    checkedStart.checksIncarnation =
-            start.checksIncarnation && !m_uncheckableEndpoints.contains(start.endpoint);
     auto newAttempt =
-            std::make_unique<Attempt>(checkedStart, exchange->callerId, m_codec,
+            std::make_unique<Attempt>(start, exchange->callerId, m_codec,
                                       static_cast<AttemptOwner &>(*this), m_responseMemory, m_loop);
     Attempt &attempt = *newAttempt;
     exchange->attempts[start.attempt] = std::move(newAttempt);
@@ -182,7 +179,7 @@
     if (exchange == nullptr)
         return;
     if (attempt.wasClosedAfterCheck())
-        m_uncheckableEndpoints.insert(attempt.start().endpoint);
+        m_closingEndpoints.insert(attempt.start().endpoint);
     // Its last events are held back, and the stream goes on in the later attempt.
     const bool isUncertainAndReplaced =
             result == AttemptResult::ClosedAfterStopOrder && hasLaterAttempt(*exchange, attempt);
@@ -306,7 +303,7 @@
 {
     m_endpointPool.closeIdle(endpoint);
     m_limitedEndpoints.erase(endpoint);
-    m_uncheckableEndpoints.erase(endpoint);
+    m_closingEndpoints.erase(endpoint);
 }
 
 void TrafficRelay::applyLimits(const ConnectionLimits &limits)
--- a/drivers/traffic/traffic_relay.h
+++ b/drivers/traffic/traffic_relay.h
@@ -76,6 +76,8 @@
     void onStreamBlock(Attempt &attempt, const StreamBlock &block) override;
     bool hasRelayedEvents(RequestNumber request) const override;
     bool mayHaveBeenStopped(const Attempt &attempt) const override;
+    bool closesAfterChecks(const EndpointId &endpoint) const override;
+    void startSeparateCheck(const Attempt &attempt) override;
     void onResponseHead(const EndpointId &endpoint, const ResponseTraits &traits) override;
     void onEndpointLeaving(const EndpointId &endpoint) override;
     void onMemoryExceeded() override;
@@ -122,8 +124,8 @@
     std::vector<std::unique_ptr<EndpointCall>> m_endpointCalls;
     std::unordered_set<RequestNumber> m_requestsWithProgress; ///< Exchanges with events to report.
     std::set<EndpointId> m_limitedEndpoints; ///< Their last response named a limit.
-    /// Endpoints that can't be asked for their start on the connection of a request.
-    std::set<EndpointId> m_uncheckableEndpoints;
+    /// Their last response to a check of the incarnation closed its connection.
+    std::set<EndpointId> m_closingEndpoints;
     RequestNumber m_lastRequest = 0;
     TimerQueue::Handle m_progressTimer;
     TimerQueue::Handle m_sweepTimer;
--- a/drivers/traffic/traffic_relay_calls.cpp
+++ b/drivers/traffic/traffic_relay_calls.cpp
@@ -96,4 +96,37 @@
     m_endpointCalls.back()->send(request);
 }
 
+bool TrafficRelay::closesAfterChecks(const EndpointId &endpoint) const
+{
+    return m_closingEndpoints.contains(endpoint);
+}
+
+void TrafficRelay::startSeparateCheck(const Attempt &attempt)
+{
+    const AttemptStart &start = attempt.start();
+    const auto callback = [this, endpoint = start.endpoint, request = start.request,
+                           number = start.attempt](const EndpointCall::Response &response) {
+        if (response.keepsConnection)
+            m_closingEndpoints.erase(endpoint);
+        Exchange *exchange = findExchange(request);
+        if (exchange == nullptr)
+            return;
+        const auto entry = exchange->attempts.find(number);
+        if (entry != exchange->attempts.end() && !entry->second->hasEnded())
+            entry->second->finishSeparateCheck(response.status, response.body);
+    };
+    std::error_code error;
+    auto connection = m_endpointPool.connect(start.endpoint, start.address, error);
+    if (!connection) {
+        callback({.reason = error.message()});
+        return;
+    }
+    std::string check;
+    m_codec.writeStatusCheck({.endpoint = start.endpoint, .address = start.address}, check);
+    const auto filter = [](const ResponseHead & /*head*/) { return true; };
+    m_endpointCalls.push_back(std::make_unique<EndpointCall>(
+            m_loop, std::move(connection), start.connectDeadline, filter, callback));
+    m_endpointCalls.back()->send(check);
+}
+
 } // namespace monsoonsail
--- a/tests/drivers/stream_version_test.cpp
+++ b/tests/drivers/stream_version_test.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
 
 using namespace monsoonsail;
 using std::chrono::milliseconds;
@@ -37,6 +38,9 @@
     CPPUNIT_TEST(checkIsAnsweredWithAnEmptyId);
     CPPUNIT_TEST(silentEndpointIsNotSentTheRequest);
     CPPUNIT_TEST(endpointThatClosesAfterTheCheckIsNotSentTheRequest);
+    CPPUNIT_TEST(closingEndpointIsCheckedOnAnotherConnection);
+    CPPUNIT_TEST(closingEndpointThatFailsTheCheckIsNotSentTheRequest);
+    CPPUNIT_TEST(endpointThatClosesNoLongerIsCheckedOnOneConnection);
     CPPUNIT_TEST(checkedConnectionIsNotCheckedAgain);
     CPPUNIT_TEST(unreadableCheckAnswerIsNotSentTheRequest);
     CPPUNIT_TEST(interimAnswerDoesNotEndTheCheck);
@@ -81,6 +85,28 @@
         return endpoint;
     }
 
+    /// Lets the endpoint close a connection on which it has answered the check.
+    void closeAfterCheck()
+    {
+        const RawSocket client = connectCaller();
+        const RawSocket endpoint = startChecked(
+                checkAnswer(std::to_string(startedMs), "Connection: close\r\n"), client);
+        expectResult(AttemptResult::NotSent, m_listener.nextAttemptEnd(), "close");
+    }
+
+    /// Starts an attempt that is checked on another connection, and answers the check. Returns the
+    /// connection for the request and that of the check.
+    std::pair<RawSocket, RawSocket> startSeparatelyChecked(const std::string &response)
+    {
+        start(m_listener.nextArrival().number, true);
+        RawSocket endpoint = m_endpoint.accept();
+        RawSocket call = m_endpoint.accept();
+        CPPUNIT_ASSERT_EQUAL(std::string(check), call.receiveUntil(headEnd));
+        expectNothing(endpoint);
+        call.send(response);
+        return {std::move(endpoint), std::move(call)};
+    }
+
     static void expectNothing(const RawSocket &endpoint)
     {
         CPPUNIT_ASSERT_EQUAL(std::string(), endpoint.receiveUntil(headEnd, milliseconds(100)));
@@ -274,6 +300,50 @@
         expectNothing(endpoint);
     }
 
+    // Such an endpoint was no longer checked, so streams went on at its next incarnation.
+    void closingEndpointIsCheckedOnAnotherConnection()
+    {
+        closeAfterCheck();
+        for (const bool isOther : {true, false}) {
+            const RawSocket client = connectCaller();
+            const auto [endpoint, call] = startSeparatelyChecked(checkAnswer(
+                    std::to_string(startedMs + (isOther ? 1 : 0)), "Connection: close\r\n"));
+            if (!isOther) {
+                expectAnswered(endpoint);
+                continue;
+            }
+            expectResult(AttemptResult::Misdirected, m_listener.nextAttemptEnd(), "other start");
+            expectNothing(endpoint);
+            CPPUNIT_ASSERT(endpoint.isClosedWithin(milliseconds(500)));
+        }
+    }
+
+    void closingEndpointThatFailsTheCheckIsNotSentTheRequest()
+    {
+        closeAfterCheck();
+        for (const std::string status : {"", "503 Busy"}) {
+            const RawSocket client = connectCaller();
+            const auto [endpoint, call] = startSeparatelyChecked(
+                    status.empty() ? "no answer\r\n\r\n" : checkAnswer("", {}, status));
+            expectResult(AttemptResult::NotSent, m_listener.nextAttemptEnd(), status);
+            expectNothing(endpoint);
+        }
+    }
+
+    void endpointThatClosesNoLongerIsCheckedOnOneConnection()
+    {
+        closeAfterCheck();
+        const RawSocket first = connectCaller();
+        {
+            const auto [endpoint, call] =
+                    startSeparatelyChecked(checkAnswer(std::to_string(startedMs)));
+            endpoint.receiveUntil(headEnd);
+        }
+        expectResult(AttemptResult::Interrupted, m_listener.nextAttemptEnd(), "closed");
+        const RawSocket second = connectCaller();
+        expectAnswered(startChecked(checkAnswer(std::to_string(startedMs)), second));
+    }
+
     void checkedConnectionIsNotCheckedAgain()
     {
         const RawSocket first = connectCaller();
--- a/tests/processes/stream_version_cases.cpp
+++ b/tests/processes/stream_version_cases.cpp
@@ -66,6 +66,12 @@
         engine->list();
 }
 
+void closingEnginesCrashAndStartAsNewVersion(VersionedSite &site)
+{
+    site.setClosesAfterStatusChecks(true);
+    enginesCrashAndStartAsNewVersion(site, seconds(1));
+}
+
 void enginesFallSilent(VersionedSite &site)
 {
     start(site);
@@ -118,6 +124,69 @@
     start(site, {.id = "s", .firstReadTime = milliseconds(400)});
 }
 
+/// How engines of v2 join.
+enum class Joining {
+    BesideOldEngines,
+    PartlyInPlace, ///< Two engines of v1 start again as v2 besides.
+};
+
+void joinNewEngines(VersionedSite &site, Joining joining)
+{
+    site.addNewEngines();
+    if (joining == Joining::BesideOldEngines)
+        return;
+    for (const unsigned engine : {0U, 1U}) {
+        site.oldEngines().at(engine)->crash();
+        site.oldEngines().at(engine)->start("v2");
+    }
+}
+
+/// The first daemon is out of step while engines of v2 join. Then the daemon through which streams
+/// have begun, before that and after, is killed, and they are taken up at the first one.
+void daemonIsOutOfStep(VersionedSite &site, Joining joining, void (*takeOut)(VersionedSite &),
+                       void (*bringBack)(VersionedSite &))
+{
+    constexpr unsigned lastDaemon = VersionedSite::daemonCount - 1;
+    site.setClosesAfterStatusChecks(true);
+    site.setEventsPerStream(260);
+    site.addOldEngines();
+    site.setClosesAfterStatusChecks(false);
+    site.startUp();
+    // The first daemon knows by these that the engines close.
+    site.startCallers(streamCount / 4, {.id = "f"}, 0);
+    site.startCallers(streamCount / 2, {.id = "o"}, lastDaemon);
+    site.sleepBetween(100, 300);
+    takeOut(site);
+    joinNewEngines(site, joining);
+    site.sleepBetween(1500, 2000);
+    site.startCallers(streamCount, {.id = "s"}, lastDaemon);
+    sleepIntoStreams(site);
+    const bool isBackFirst = site.randomBetween(0, 1) == 1;
+    if (isBackFirst) {
+        bringBack(site);
+        site.sleepBetween(0, 50);
+    }
+    site.killDaemon(lastDaemon);
+    if (!isBackFirst) {
+        site.sleepBetween(0, 500);
+        bringBack(site);
+    }
+}
+
+void daemonStandsStill(VersionedSite &site, Joining joining)
+{
+    daemonIsOutOfStep(
+            site, joining, [](VersionedSite &paused) { paused.pauseDaemon(0); },
+            [](VersionedSite &paused) { paused.resumeDaemon(0); });
+}
+
+void daemonIsCutOff(VersionedSite &site, Joining joining)
+{
+    daemonIsOutOfStep(
+            site, joining, [](VersionedSite &cut) { cut.cutFirstDaemon(); },
+            [](VersionedSite &cut) { cut.reconnectFirstDaemon(); });
+}
+
 void daemonIsKilled(VersionedSite &site)
 {
     start(site);
@@ -294,6 +363,8 @@
             {"all engines of v1 crash and start as v2, listed after 1 s",
              [](VersionedSite &site) { enginesCrashAndStartAsNewVersion(site, seconds(1)); }, false,
              true},
+            {"all engines of v1, which close after checks, crash and start as v2, listed after 1 s",
+             closingEnginesCrashAndStartAsNewVersion, false, true},
             {"engines of v1 fall silent", enginesFallSilent, false, true},
             {"engines of v1 break off", enginesBreakOff, true, true},
             {"one engine leaves", oneEngineLeaves, true, true},
@@ -311,6 +382,21 @@
     return cases;
 }
 
+std::span<const StreamVersionCase> outOfStepCases()
+{
+    static const std::vector<StreamVersionCase> cases{
+            {"engines of v2 join while a daemon stands still",
+             [](VersionedSite &site) { daemonStandsStill(site, Joining::BesideOldEngines); }, true,
+             true},
+            {"engines of v2 join while a daemon is cut off",
+             [](VersionedSite &site) { daemonIsCutOff(site, Joining::BesideOldEngines); }},
+            {"engines of v1 become v2 while a daemon stands still",
+             [](VersionedSite &site) { daemonStandsStill(site, Joining::PartlyInPlace); }},
+            {"engines of v1 become v2 while a daemon is cut off",
+             [](VersionedSite &site) { daemonIsCutOff(site, Joining::PartlyInPlace); }}};
+    return cases;
+}
+
 std::span<const StreamVersionCase> lostInstancesCases()
 {
     static const std::vector<StreamVersionCase> cases{
--- a/tests/processes/stream_version_cases.h
+++ b/tests/processes/stream_version_cases.h
@@ -25,6 +25,9 @@
 std::span<const StreamVersionCase> troubledEngineCases();
 /// Callers take streams up while instances live.
 std::span<const StreamVersionCase> takeUpCases();
+/// Engines of another version join while an instance stands still or is cut off, and streams are
+/// then taken up there.
+std::span<const StreamVersionCase> outOfStepCases();
 /// All instances are killed and started again.
 std::span<const StreamVersionCase> lostInstancesCases();
 /// The same while the store is in trouble.
--- a/tests/processes/stream_version_test.cpp
+++ b/tests/processes/stream_version_test.cpp
@@ -131,6 +131,7 @@
     CPPUNIT_TEST_SUITE(StreamVersionTest);
     CPPUNIT_TEST(streamOfTroubledEngineGoesOnAtAnotherVersion);
     CPPUNIT_TEST(streamIsTakenUpAtAnotherVersion);
+    CPPUNIT_TEST(streamIsTakenUpAtADaemonOutOfStep);
     CPPUNIT_TEST(streamIsTakenUpAtAnotherVersionAfterTheLossOfAllInstances);
     CPPUNIT_TEST(streamIsTakenUpAtAnotherVersionAfterTroubleOfTheStore);
     CPPUNIT_TEST(streamOfTheOnlyVersionIsNotTakenUp);
@@ -204,6 +205,8 @@
 public:
     void streamOfTroubledEngineGoesOnAtAnotherVersion() { playAll(troubledEngineCases()); }
     void streamIsTakenUpAtAnotherVersion() { playAll(takeUpCases()); }
+    // An instance that has missed the arrival of a version must not go on at the one that it knows.
+    void streamIsTakenUpAtADaemonOutOfStep() { playAll(outOfStepCases()); }
     void streamIsTakenUpAtAnotherVersionAfterTheLossOfAllInstances()
     {
         playAll(lostInstancesCases());
--- a/tests/processes/versioned_site.cpp
+++ b/tests/processes/versioned_site.cpp
@@ -16,21 +16,26 @@
 constexpr seconds streamStartTimeout{5};
 constexpr unsigned maxCallerDelayMs = 60;
 
-void addEngines(VersionedSite::Engines &engines, FakePlatform &platform, const std::string &version,
-                std::uint64_t events)
+void addEngines(VersionedSite::Engines &engines, FakePlatform &platform,
+                const StreamEngine::Settings &settings)
 {
     for (unsigned number = 1; number <= VersionedSite::enginesPerVersion; ++number) {
         engines.push_back(std::make_unique<StreamEngine>(
-                platform, version + "-" + std::to_string(number), "model",
-                StreamEngine::Settings{.events = events, .version = version}));
+                platform, settings.version + "-" + std::to_string(number), "model", settings));
     }
 }
 
+unsigned portOf(const std::string &address)
+{
+    return static_cast<unsigned>(std::stoul(address.substr(address.find(':') + 1)));
+}
+
 } // namespace
 
 VersionedSite::VersionedSite(std::uint64_t seed)
     : m_seed(seed)
     , m_random(seed)
+    , m_firstDaemonLink(portOf(m_site.platform().address()))
 {
     platform().put("keyed.op", "config", streamSiteConfiguration());
 }
@@ -42,27 +47,35 @@
 
 void VersionedSite::addOldEngines()
 {
-    addEngines(m_oldEngines, platform(), "v1", m_eventsPerStream);
+    addEngines(m_oldEngines, platform(),
+               {.events = m_eventsPerStream,
+                .version = "v1",
+                .closesAfterStatusChecks = m_closesAfterStatusChecks});
 }
 
 void VersionedSite::addNewEngines()
 {
-    addEngines(m_newEngines, platform(), "v2", m_eventsPerStream);
+    addEngines(m_newEngines, platform(),
+               {.events = m_eventsPerStream,
+                .version = "v2",
+                .closesAfterStatusChecks = m_closesAfterStatusChecks});
 }
 
 void VersionedSite::startUp()
 {
-    for (unsigned daemon = 0; daemon < daemonCount; ++daemon)
+    m_site.addDaemon("entry-1", {}, m_firstDaemonLink.address());
+    for (unsigned daemon = 1; daemon < daemonCount; ++daemon)
         m_site.addDaemon();
     waitUntilReady();
 }
 
-void VersionedSite::startCallers(unsigned count, const StreamCaller::Plan &plan)
+void VersionedSite::startCallers(unsigned count, const StreamCaller::Plan &plan,
+                                 std::optional<unsigned> firstDaemon)
 {
     for (unsigned number = 0; number < count; ++number) {
         StreamCaller::Plan ownPlan = plan;
         ownPlan.id += std::to_string(m_seed) + "-" + std::to_string(number);
-        ownPlan.firstDaemon = number;
+        ownPlan.firstDaemon = firstDaemon.value_or(number);
         ownPlan.areReady = m_areReady;
         ownPlan.events = m_eventsPerStream;
         for (const auto &daemon : m_site.daemons())
@@ -101,6 +114,17 @@
     m_site.daemons().at(daemon)->start();
 }
 
+void VersionedSite::pauseDaemon(unsigned daemon)
+{
+    m_areReady.at(daemon) = false;
+    m_site.daemons().at(daemon)->signal(SIGSTOP);
+}
+
+void VersionedSite::resumeDaemon(unsigned daemon)
+{
+    m_site.daemons().at(daemon)->signal(SIGCONT);
+}
+
 void VersionedSite::killAll()
 {
     for (std::atomic<bool> &isReady : m_areReady)
--- a/tests/processes/versioned_site.h
+++ b/tests/processes/versioned_site.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tests/processes/stream_caller.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/support/stream_engine.h"
 #include "tests/support/test_site.h"
 
@@ -11,6 +12,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -31,6 +33,9 @@
     explicit VersionedSite(std::uint64_t seed);
     /// Sets the length of all streams. Call before engines are added.
     void setEventsPerStream(std::uint64_t events) { m_eventsPerStream = events; }
+    /// Sets whether engines that are added from now on close each connection on which they have
+    /// answered a status check.
+    void setClosesAfterStatusChecks(bool closes) { m_closesAfterStatusChecks = closes; }
     /// Waits for the callers.
     ~VersionedSite();
     VersionedSite(const VersionedSite &) = delete;
@@ -41,12 +46,20 @@
     /// Starts the daemons and waits until they are ready. Throws std::runtime_error if they don't
     /// become so in time.
     void startUp();
-    /// Starts the callers, and waits until all streams run at engines. `plan` is that of all.
-    void startCallers(unsigned count, const StreamCaller::Plan &plan);
+    /// Starts the callers, and waits until all streams run at engines. `plan` is that of all. They
+    /// begin at all daemons in turn, or at `firstDaemon`.
+    void startCallers(unsigned count, const StreamCaller::Plan &plan,
+                      std::optional<unsigned> firstDaemon = std::nullopt);
     void joinCallers();
 
     void killDaemon(unsigned daemon);
     void startDaemon(unsigned daemon);
+    /// Stops all threads of a daemon, until it is resumed.
+    void pauseDaemon(unsigned daemon);
+    void resumeDaemon(unsigned daemon);
+    /// Cuts the first daemon off from the platform: its calls are not answered.
+    void cutFirstDaemon() { m_firstDaemonLink.setFault(FaultProxy::Fault::Silence); }
+    void reconnectFirstDaemon() { m_firstDaemonLink.setFault(FaultProxy::Fault::None); }
     void killAll();
     void startAll();
     /// Waits until all daemons are ready. Throws std::runtime_error as startUp().
@@ -75,7 +88,9 @@
     const std::uint64_t m_seed;
     std::mt19937_64 m_random;
     std::uint64_t m_eventsPerStream = 100;
+    bool m_closesAfterStatusChecks = false;
     TestSite m_site;
+    FaultProxy m_firstDaemonLink; ///< Between the first daemon and the platform.
     std::array<std::atomic<bool>, daemonCount> m_areReady{};
     Engines m_oldEngines;
     Engines m_newEngines;
--- a/tests/support/stream_engine.cpp
+++ b/tests/support/stream_engine.cpp
@@ -132,8 +132,14 @@
             break;
         const std::string target(request->target());
         if (target == "/report") {
-            const std::lock_guard lock(m_mutex);
-            connection.answer(200, json{{"Stage", "both"}, {"born", m_startTimeMs}}.dump());
+            const bool closes = m_settings.closesAfterStatusChecks;
+            {
+                const std::lock_guard lock(m_mutex);
+                connection.answer(200, json{{"Stage", "both"}, {"born", m_startTimeMs}}.dump(),
+                                  {{"Connection", closes ? "close" : "keep-alive"}});
+            }
+            if (closes)
+                break;
         } else if (target == "/kv-move") {
             if (!handleOrder(*request, connection, socket))
                 break;
--- a/tests/support/stream_engine.h
+++ b/tests/support/stream_engine.h
@@ -55,6 +55,8 @@
         std::chrono::milliseconds eventInterval{20};
         OrderFate orderFate;
         std::string version = "v1";
+        /// Whether it closes each connection on which it has answered a status check.
+        bool closesAfterStatusChecks = false;
     };
 
     /// A stream that it began or went on with.
--- a/tests/support/test_site.cpp
+++ b/tests/support/test_site.cpp
@@ -106,10 +106,11 @@
     return addDaemon("entry-" + std::to_string(m_daemons.size() + 1), {});
 }
 
-DaemonProcess &TestSite::addDaemon(const std::string &instance, const DaemonSettings &settings)
+DaemonProcess &TestSite::addDaemon(const std::string &instance, const DaemonSettings &settings,
+                                   const std::string &platform)
 {
-    m_daemons.push_back(
-            std::make_unique<DaemonProcess>(instance, m_platform.address(), m_folder, settings));
+    m_daemons.push_back(std::make_unique<DaemonProcess>(
+            instance, platform.empty() ? m_platform.address() : platform, m_folder, settings));
     m_daemons.back()->start();
     return *m_daemons.back();
 }
--- a/tests/support/test_site.h
+++ b/tests/support/test_site.h
@@ -42,7 +42,9 @@
                               std::chrono::milliseconds workTime = std::chrono::milliseconds(5));
     /// Starts a daemon without waiting for it to become ready.
     DaemonProcess &addDaemon();
-    DaemonProcess &addDaemon(const std::string &instance, const DaemonSettings &settings);
+    /// `platform` is the "IP:port" at which it reaches the platform, if that is a proxy.
+    DaemonProcess &addDaemon(const std::string &instance, const DaemonSettings &settings,
+                             const std::string &platform = {});
     /// Starts a daemon and waits until it serves `path`. Throws std::runtime_error if it doesn't in
     /// time.
     DaemonProcess &startDaemon(const std::string &path);
