Check endpoints on another connection if their response ends with it

What callers saw: no stream runs at an endpoint whose response to the check of its incarnation has neither a length nor chunks, which the protocol allows.

Cause: such a response is complete when its connection ends, and that counted as a failed check, each time.

Why this works: the endpoint counts as one that closes, and is asked on another connection, whose end completes the response.

Failed before: StreamVersionTest:: checkAnswerThatEndsWithItsConnectionIsReadOnAnotherOne (no second connection).

--- a/drivers/traffic/attempt.cpp
+++ b/drivers/traffic/attempt.cpp
@@ -340,6 +340,10 @@
 void Attempt::onDisconnected(ConnectionEnd end, std::string_view reason)
 {
     m_wasDisconnected = end != ConnectionEnd::Failed;
+    // No request can follow a response to the check that ends with its connection.
+    if (m_mode == Mode::CheckingIncarnation && m_reader->isHeadComplete()
+        && m_reader->endsAtConnectionClose())
+        m_wasClosedAfterCheck = true;
     if (!m_connection->hasSent() || m_mode == Mode::CheckingIncarnation) {
         reportEnd(AttemptResult::NotSent, reason);
         return;
--- a/tests/drivers/stream_version_test.cpp
+++ b/tests/drivers/stream_version_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(closingEndpointIsCheckedOnAnotherConnection);
     CPPUNIT_TEST(closingEndpointThatFailsTheCheckIsNotSentTheRequest);
     CPPUNIT_TEST(endpointThatClosesNoLongerIsCheckedOnOneConnection);
+    CPPUNIT_TEST(checkAnswerThatEndsWithItsConnectionIsReadOnAnotherOne);
     CPPUNIT_TEST(checkedConnectionIsNotCheckedAgain);
     CPPUNIT_TEST(unreadableCheckAnswerIsNotSentTheRequest);
     CPPUNIT_TEST(interimAnswerDoesNotEndTheCheck);
@@ -344,6 +345,21 @@
         expectAnswered(startChecked(checkAnswer(std::to_string(startedMs)), second));
     }
 
+    // Each check failed, so such an endpoint got no streams.
+    void checkAnswerThatEndsWithItsConnectionIsReadOnAnotherOne()
+    {
+        const std::string unframed = "HTTP/1.1 200 OK\r\n\r\n" + std::to_string(startedMs);
+        {
+            const RawSocket client = connectCaller();
+            startChecked(unframed, client);
+        }
+        expectResult(AttemptResult::NotSent, m_listener.nextAttemptEnd(), "unframed");
+        const RawSocket client = connectCaller();
+        auto [endpoint, call] = startSeparatelyChecked(unframed);
+        call.close();
+        expectAnswered(endpoint);
+    }
+
     void checkedConnectionIsNotCheckedAgain()
     {
         const RawSocket first = connectCaller();
