--- a/tests/drivers/stream_version_test.cpp
+++ b/tests/drivers/stream_version_test.cpp
@@ -319,6 +319,7 @@
         }
     }
 
+    // Without an answer, nothing is known of the incarnation.
     void closingEndpointThatFailsTheCheckIsNotSentTheRequest()
     {
         closeAfterCheck();
@@ -331,6 +332,7 @@
         }
     }
 
+    // Endpoints close a connection now and then; a second one for each check would be wasted.
     void endpointThatClosesNoLongerIsCheckedOnOneConnection()
     {
         closeAfterCheck();
--- a/tests/processes/repeated_status_answer_test.cpp
+++ b/tests/processes/repeated_status_answer_test.cpp
@@ -76,6 +76,7 @@
         m_site.reset();
     }
 
+    // The next caller on the connection got the status of the endpoint as a whole 200.
     void nextRequestsGetTheirOwnAnswers()
     {
         for (const std::string path : {"/review/1", "/book/1", "/review/2"}) {
