Start programs in tests without a copy of the test's memory

Cause: DaemonProcess::start() called fork(), which locks the memory of the test while it copies its page tables, and yields the processor meanwhile. The callers and the stand-in of the store are threads of that process.

Busy processes, which LargeFleetTest starts beside its load, are started in the same way, as shells that loop. No bound or check was changed.

--- a/tests/support/busy_processes.cpp
+++ b/tests/support/busy_processes.cpp
@@ -1,10 +1,9 @@
 #include "tests/support/busy_processes.h"
 
-#include <sys/prctl.h>
+#include "tests/support/child_process.h"
+
 #include <sys/wait.h>
-#include <unistd.h>
 
-#include <atomic>
 #include <csignal>
 
 namespace monsoonsail {
@@ -12,13 +11,8 @@
 BusyProcesses::BusyProcesses(unsigned count)
 {
     for (unsigned number = 0; number < count; ++number) {
-        const pid_t processId = ::fork();
-        if (processId == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            for (std::atomic<unsigned> turns = 0;; ++turns) { }
-        }
-        if (processId > 0)
-            m_processIds.push_back(processId);
+        m_processIds.push_back(
+                startChildProcess({.path = "/bin/sh", .arguments = {"-c", "while :; do :; done"}}));
     }
 }
 
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -1,10 +1,9 @@
 #include "tests/support/daemon_process.h"
 
 #include "tests/support/caller.h"
+#include "tests/support/child_process.h"
 
 #include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -12,7 +11,6 @@
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
-#include <stdexcept>
 #include <thread>
 #include <utility>
 
@@ -71,25 +69,12 @@
 void DaemonProcess::start()
 {
     const char *folder = std::getenv("MONSOONSAIL_BIN");
-    const std::string program = std::string(folder == nullptr ? "build" : folder) + "/monsoonsaild";
-    const std::string argument = "--settings=" + m_settingsFile.string();
     const int output = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-    m_processId = ::fork();
-    if (m_processId < 0)
-        throw std::runtime_error("cannot start monsoonsaild");
-    if (m_processId == 0) {
-        // Leaves no daemon behind if the test is killed.
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        if (m_settings.maxDescriptors > 0) {
-            const rlimit limit{.rlim_cur = m_settings.maxDescriptors,
-                               .rlim_max = m_settings.maxDescriptors};
-            ::setrlimit(RLIMIT_NOFILE, &limit);
-        }
-        ::dup2(output, STDOUT_FILENO);
-        ::dup2(output, STDERR_FILENO);
-        ::execl(program.c_str(), program.c_str(), argument.c_str(), nullptr);
-        ::_exit(127);
-    }
+    m_processId = startChildProcess(
+            {.path = std::string(folder == nullptr ? "build" : folder) + "/monsoonsaild",
+             .arguments = {"--settings=" + m_settingsFile.string()},
+             .output = output,
+             .maxDescriptors = m_settings.maxDescriptors});
     ::close(output);
 }
 
