--- a/tests/processes/stream_version_test.cpp
+++ b/tests/processes/stream_version_test.cpp
@@ -82,6 +82,22 @@
     return faults;
 }
 
+/// Returns the faults, each a line that begins with the id of its request, followed by what daemons
+/// logged of the request.
+std::string explainFaults(const std::string &faults, const std::string &logs)
+{
+    std::string text;
+    std::istringstream faultLines(faults);
+    for (std::string fault; std::getline(faultLines, fault);) {
+        text += fault + "\n";
+        const std::string field = R"("request":")" + fault.substr(0, fault.find(':')) + "\"";
+        std::istringstream logLines(logs);
+        for (std::string line; std::getline(logLines, line);)
+            text += line.find(field) == std::string::npos ? "" : "  " + line + "\n";
+    }
+    return text;
+}
+
 /// Returns what is wrong after a case, one fault a line.
 std::string evaluate(const StreamVersionCase &versionCase, VersionedSite &site,
                      std::map<std::string, VersionSummary> &summaries)
@@ -89,7 +105,8 @@
     std::string faults;
     unsigned mixed = 0;
     for (const StreamCaller &caller : site.callers()) {
-        faults += caller.faults();
+        if (!caller.faults().empty())
+            faults += explainFaults(caller.faults(), site.logs());
         mixed += caller.versions().size() > 1 ? 1 : 0;
         for (const std::string &request : caller.refusedRequests())
             faults += site.hasRun(request) ? request + ": refused, and has run\n" : "";
